--- /dev/null
+++ b/laurelcourse/chance.py
@@ -0,0 +1,16 @@
+"""Chance: a linear congruential generator of which only the high bits are used."""
+
+
+class Chance:
+    __slots__ = ("word",)
+
+    def __init__(self, seed: int) -> None:
+        self.word = seed & 0xFFFFFFFFFFFFFFFF
+        self.below(2)
+
+    def below(self, bound: int) -> int:
+        self.word = (self.word * 6364136223846793005 + 1442695040888963407) & 0xFFFFFFFFFFFFFFFF
+        return ((self.word >> 32) * bound) >> 32
+
+    def share(self) -> float:
+        return self.below(1 << 30) / (1 << 30)
--- /dev/null
+++ b/laurelcourse/interface.py
@@ -0,0 +1,79 @@
+"""What a relay calls, and the results it gets back.
+
+Every call takes plain values and the time in whole microseconds, and returns a list of results:
+plain tuples with the verb first. The relay carries them out in order, at that same time.
+"""
+
+from collections.abc import Iterable
+from typing import NamedTuple, Protocol
+
+Result = tuple
+
+SEND = "send"      # req, unit, limit                  start an upstream try, the req's next number
+SHED = "shed"      # req, come_back                    final: trying again does no harm; 0 names no time
+ERROR = "error"    # req                               final: no claim about the effect
+CANCEL = "cancel"  # req, number                       stop waiting for one upstream try
+WAKE = "wake"      # delay, token                      call `timer` with the token after the delay
+PROBE = "probe"    # unit                              ask a unit how it is
+TELL = "tell"      # relay, payload                    at most 256 bytes to another relay
+WATCH = "watch"    #                                   ask the directory for changes from now on
+VOTE = "vote"      # build, stage, verdict
+NOTE = "note"      # text                              a line for the people on call
+
+# how an upstream try or a probe ended
+OK, FAILED, BUSY, TIMEOUT = "ok", "failed", "busy", "timeout"
+UNREACHED, RESET, CANCELLED, UNSENT = "unreached", "reset", "cancelled", "unsent"
+NEVER_RAN = frozenset((BUSY, UNREACHED, UNSENT))
+
+# a directory's news
+CHANGES, WHOLE, CACHED, BROKEN = "changes", "whole", "cached", "broken"
+READY, DRAINING, GONE = "ready", "draining", "gone"
+
+# where a build stands, and a vote's verdicts
+ON_TRIAL, GOING_BACK, RELEASED, WITHDRAWN = 0, 1, 2, 3
+NO_VOTE, VOTE_ON, VOTE_HOLD, VOTE_BACK = 0, 1, 2, 3
+COUNTED, VOID, REFUSED, BROKE, UNANSWERED = "counted", "void", "refused", "broke", "unanswered"
+
+
+class Listed(NamedTuple):
+    """One unit as the directory lists it."""
+
+    unit: int
+    zone: str
+    cell: int
+    build: int
+    health: str
+    size: float
+    since: int
+
+
+class Decisions(Protocol):
+    """The calls; `laurelcourse.rules.Balancer(settings, seed, now)` answers them."""
+
+    def start(self, now: int) -> list[Result]: ...
+
+    def new_req(self, now: int, req: str, route: str, tenant: str, key: int | None, left: int,
+                repeated: bool) -> list[Result]: ...
+
+    def outcome(self, now: int, req: str, number: int, unit: int, status: str, lag: int, last: bool,
+                load: dict[str, float]) -> list[Result]: ...
+
+    def streaming(self, now: int, req: str, number: int) -> list[Result]: ...
+
+    def withdrawn(self, now: int, req: str) -> list[Result]: ...
+
+    def directory(self, now: int, how: str, entries: Iterable[Listed]) -> list[Result]: ...
+
+    def timer(self, now: int, token: str) -> list[Result]: ...
+
+    def probed(self, now: int, unit: int, status: str, lag: int, load: dict[str, float]) -> list[Result]: ...
+
+    def peer(self, now: int, relay: int, payload: bytes) -> list[Result]: ...
+
+    def stage(self, now: int, build: int, stage: int, standing: int, answers_vote: bool, status: str,
+              cap: float, since: int) -> list[Result]: ...
+
+    def tally(self, now: int, since: int, lag: int, build: int, route: str, failed: int,
+              counted: int) -> list[Result]: ...
+
+    def complaint(self, now: int, unit: int, since: int, route: str) -> list[Result]: ...
--- /dev/null
+++ b/laurelcourse/rules.py
@@ -0,0 +1,558 @@
+"""The decisions of one relay.
+
+Make one `Balancer(settings, seed, now)` for each relay, call `start`, then a call for each thing that
+happens; carry out what each returns. Calls and results stand in `laurelcourse/interface.py`, the settings in
+`laurelcourse/settings.py`, the design and its exceptions in `docs/design.md`.
+
+Beside the design stand these mechanisms:
+1. guard: every send, shed and error passes one place that keeps the five rules.
+2. pace: a unit's expected wait, from its latencies and this relay's open tries, steers the two choices.
+3. set-aside: a failing, silent or unreachable unit rests, and returns by time or by a peer's good answer.
+4. observed time-outs: a try that may be repeated is cut while the latency objective can still be met.
+5. home first: a unit of the own zone is taken unless it would make the req late.
+6. shedding: what can't be answered in time is given up at once.
+"""
+
+import math
+from collections import deque
+from collections.abc import Iterable
+
+from laurelcourse import interface as face
+from laurelcourse import messages
+from laurelcourse import settings as known
+from laurelcourse.interface import Listed, Result
+from laurelcourse.settings import Settings
+from laurelcourse.state import ENDED, TRYING, Case, Instance, News, Req, Sums, Try, Unit
+
+# the judge
+CHANGE = 0.0005                    # p: a build that was sound turns bad at the next outcome
+SUSPECT = 0.3                      # p0
+ODDS = 0.05                        # every Ai
+CALM = 0.2
+FAILING, SLOW, WRONG = "failing", "slow", "wrong"
+PRIORS = {FAILING: 0.5, SLOW: 0.35, WRONG: 0.15}
+FAIL_FLOOR, FALSE_COMPLAINTS = 0.01, 0.005
+FAIL_ALL, FAIL_ROUTE, WRONG_SHARE = 0.15, 0.5, 0.1
+SLOWER = (math.log(1.6), math.log(2.6))
+SPREAD_FLOOR, SPREAD_CLIP = 0.5, 2.5
+BASE_ENOUGH, ENOUGH = 8, 25
+RUN_BEFORE_ON = 3_000_000
+BASE_HALVES = 8_000_000            # the baseline's half-life
+VOTERS_SPARE = 2
+
+BEATS, TELL_BEATS = 10, 5          # ticks a beat, beats between two messages
+
+PACE_GAIN, FAIL_GAIN = 0.2, 0.25
+PACE_OF_FAILURE = 4.0
+ASIDE_FAILING = 0.5
+COLD_SAFETY = 0.5
+COME_BACK_SHARE = 0.5
+
+
+class Balancer:
+    def __init__(self, settings: Settings, seed: int, now: int) -> None:
+        self.s, self.out = settings, []
+        self.i = Instance(seed, now, len(settings.routes))
+        self.i.typical = [0.0 for _ in settings.routes]
+        self.places = {route.name: place for place, route in enumerate(settings.routes)}
+        self.beat = BEATS * settings.tick
+        self.fade = 0.5 ** (self.beat / BASE_HALVES)
+        self.members = self._members()
+
+    # calls
+
+    def start(self, now: int) -> list[Result]:
+        self.out.append((face.WAKE, self.beat, "beat"))
+        if self.s.must_ask:
+            self._ask(now)
+        return self._results()
+
+    def new_req(self, now: int, req: str, route: str, tenant: str, key: int | None, left: int,
+                repeated: bool) -> list[Result]:
+        place = self.places[route]
+        rq = self.i.reqs[req] = Req(req, self.s.routes[place], place, key, now, now + left)
+        self.i.took[self._scope(place)].append(now)
+        self._try_or_end(now, rq)
+        return self._results()
+
+    def outcome(self, now: int, req: str, number: int, unit: int, status: str, lag: int, last: bool,
+                load: dict[str, float]) -> list[Result]:
+        rq = self.i.reqs.get(req)
+        if rq is None or number >= len(rq.tries):
+            return self._results()
+        done = rq.tries[number]
+        done.out, done.may_have_run = False, status not in face.NEVER_RAN
+        done.unit.open -= 1
+        self._learn(now, rq, done, status, lag)
+        if last or rq.state == ENDED:
+            self._become(rq, ENDED)
+        elif not any(one.out for one in rq.tries):
+            self._try_or_end(now, rq)
+        return self._results()
+
+    def streaming(self, now: int, req: str, number: int) -> list[Result]:
+        return self._results()
+
+    def withdrawn(self, now: int, req: str) -> list[Result]:
+        rq = self.i.reqs.get(req)
+        if rq is not None:
+            self._become(rq, ENDED)
+        return self._results()
+
+    def directory(self, now: int, how: str, entries: Iterable[Listed]) -> list[Result]:
+        i = self.i
+        if how == face.BROKEN:
+            # A failed call or a lost watch is renewed ever more slowly, not to storm a struggling directory.
+            i.ask_pause = min(max(2 * i.ask_pause, self.beat), self.s.ask_within // 8)
+            i.asking, i.ask_at = False, now + i.ask_pause + i.chance.below(i.ask_pause)
+            return self._results()
+        if how != face.CACHED:
+            i.asking, i.ask_pause = False, 0
+        i.list_units(entries, how != face.CHANGES)
+        self._open_case(max((unit.build for unit in i.ready), default=0))
+        return self._results()
+
+    def timer(self, now: int, token: str) -> list[Result]:
+        self.out.append((face.WAKE, self.beat, "beat"))
+        i = self.i
+        if self.s.must_ask and i.ask_at and not i.asking and now >= i.ask_at:
+            self._ask(now)
+        for base in i.base + i.newer:
+            if base.count > BASE_ENOUGH * 4:
+                base.fade(self.fade)
+        self._consider_vote(now)
+        self._tell(now)
+        return self._results()
+
+    def probed(self, now: int, unit: int, status: str, lag: int, load: dict[str, float]) -> list[Result]:
+        return self._results()
+
+    def peer(self, now: int, relay: int, payload: bytes) -> list[Result]:
+        what, told = messages.unpack(payload, len(self.s.routes)) or (None, None)
+        if what == messages.SUMS:
+            self._hear(relay, told)
+        elif what is not None and told in self.i.units:
+            if what == messages.ASIDE:
+                self.i.asked.setdefault(told, {})[relay] = now
+            else:
+                self.i.units[told].aside_until, self.i.units[told].unanswered = now, None
+        return self._results()
+
+    def stage(self, now: int, build: int, stage: int, standing: int, answers_vote: bool, status: str,
+              cap: float, since: int) -> list[Result]:
+        i, vote = self.i, self.i.vote
+        if answers_vote:
+            vote.answer_due = 0
+            if status == face.COUNTED:
+                vote.pause = 0
+            else:
+                vote.said, vote.pause = None, min(max(2 * vote.pause, self.beat), self.s.vote_life // 4)
+                vote.not_before = now + vote.pause + i.chance.below(vote.pause)
+        if status == face.COUNTED:
+            self._cap_told(now, build, standing, cap)
+            i.news = News(build, stage, standing, cap, now - since)
+            self._open_case(build)
+        return self._results()
+
+    def tally(self, now: int, since: int, lag: int, build: int, route: str, failed: int,
+              counted: int) -> list[Result]:
+        # Tallies sample the outcomes that the relays' own sums hold already: counting both would count twice.
+        return self._results()
+
+    def complaint(self, now: int, unit: int, since: int, route: str) -> list[Result]:
+        case, told = self.i.case, self.i.units.get(unit)
+        if case and told and told.build == case.build and told.since < now - since:
+            case.complained += 1
+            self._weigh(case, self.places[route], 0, 0, 0.0, 1)
+        return self._results()
+
+    # the req's states, and the guard of the five rules
+
+    def _results(self) -> list[Result]:
+        out, self.out = self.out, []
+        return out
+
+    def _become(self, rq: Req, state: str) -> None:
+        rq.state = state
+        if state == ENDED and not any(one.out for one in rq.tries):
+            self.i.reqs.pop(rq.id, None)
+
+    def _try_or_end(self, now: int, rq: Req) -> None:
+        unit = self._pick(now, rq)
+        if unit is None:
+            self._give_up(now, rq)
+            return
+        made = Try(len(rq.tries), unit, now, self._fresh(now, unit))
+        rq.tries.append(made)
+        self._become(rq, TRYING)
+        unit.open += 1
+        unit.sends.append(now)
+        if unit.unanswered is None:
+            unit.unanswered = now
+        if self._on_trial(unit.build):
+            self._tries_at(unit.build, rq.place).append(now)
+        self.out.append((face.SEND, rq.id, unit.id, self._limit(now, rq)))
+
+    def _give_up(self, now: int, rq: Req) -> None:
+        ran = any(one.may_have_run for one in rq.tries)
+        harmless = rq.route.repeat == known.RETRIABLE or not ran or (
+            rq.route.repeat == known.DEDUPED and rq.route.group not in (known.GROUP_ZONE, known.GROUP_CELL))
+        if harmless:
+            back = int(self.s.longest_return * COME_BACK_SHARE) if self.s.may_name_return else 0
+            self.out.append((face.SHED, rq.id, back))
+        else:
+            self.out.append((face.ERROR, rq.id))
+        self._become(rq, ENDED)
+
+    def _may_send(self, now: int, rq: Req, unit: Unit) -> bool:
+        """The five rules, in their order."""
+        s, route = self.s, rq.route
+        if rq.state == ENDED or now >= rq.due - s.tick or len(rq.tries) >= s.max_tries:
+            return False
+        ran = [one for one in rq.tries if one.may_have_run]
+        if ran:
+            if route.repeat == known.NON_RETRIABLE or (not s.may_duplicate and any(one.out for one in ran)):
+                return False
+            if route.repeat == known.DEDUPED and (
+                    now > ran[0].sent + route.memory - s.tick
+                    or (route.group == known.GROUP_ZONE and any(one.unit.zone != unit.zone for one in ran))
+                    or (route.group == known.GROUP_CELL and any(one.unit.cell != unit.cell for one in ran))):
+                return False
+        if unit.health != face.READY or not self._cold_room(now, unit):
+            return False
+        return self._exposure_room(now, rq, unit)
+
+    def _ramp(self, now: int, unit: Unit) -> float:
+        age = (now - unit.since) / self.s.warm_after
+        return min(1.0, self.s.cold_share + (1 - self.s.cold_share) * max(age, 0.0))
+
+    def _fresh(self, now: int, unit: Unit) -> bool:
+        return now - unit.since < self.s.warm_after // 2
+
+    def _cold_room(self, now: int, unit: Unit) -> bool:
+        """Rule 4: this relay's share of a cold unit's budget, safe if every other relay does the same."""
+        ramp = self._ramp(now, unit)
+        while unit.sends and unit.sends[0] <= now - self.s.tip_after - self.s.tick:
+            unit.sends.popleft()
+        if ramp >= 1.0:
+            return True
+        taken = sum(len(times) for times in self.i.took)
+        span = max(self.s.cap_window, self.s.tip_after)
+        usual = taken * self.s.tip_after / span / max(len(self.i.ready), 1)
+        return len(unit.sends) + 1 <= max(1.0, COLD_SAFETY * self.s.overload_factor * ramp * usual)
+
+    def _scope(self, place: int) -> int:
+        return place if self.s.cap_by_route else 0
+
+    def _on_trial(self, build: int) -> bool:
+        news = self.i.news
+        if news is None:
+            return bool(self.i.ready) and build > min(unit.build for unit in self.i.ready)
+        return build > news.build or (build == news.build and news.standing != face.RELEASED)
+
+    def _tries_at(self, build: int, place: int) -> deque[int]:
+        return self.i.tried.setdefault((build, self._scope(place)), deque())
+
+    def _cap_told(self, now: int, build: int, standing: int, cap: float) -> None:
+        i = self.i
+        if i.news is None or i.news.build != build:
+            known = i.tried and any(told == build for told, _ in i.tried)
+            before = self.s.stage_caps[0] if known else cap
+        else:
+            before = 1.0 if i.news.standing == face.RELEASED else self._cap(now)
+        i.cap, i.cap_next, i.cap_binds = max(before, cap), cap, now + self.s.drain_grace
+
+    def _cap(self, now: int) -> float:
+        i = self.i
+        if i.cap_next < i.cap and now >= i.cap_binds - 2 * self.s.tick:
+            i.cap = i.cap_next
+            for (build, _), times in i.tried.items():
+                if build == i.news.build:
+                    times.clear()
+        return i.cap
+
+    def _exposure_room(self, now: int, rq: Req, unit: Unit) -> bool:
+        """Rule 5: the windowed count of tries at a build on trial stays within the cap last told."""
+        i, s, news = self.i, self.s, self.i.news
+        if not self._on_trial(unit.build):
+            return not (s.keys_stay and rq.key is not None and i.keys.get(rq.key, unit.build) > unit.build
+                        and (news is None or news.standing in (face.ON_TRIAL, face.RELEASED)))
+        named = news is not None and news.build == unit.build
+        cap, stage = (self._cap(now), news.stage) if named else (s.stage_caps[0], 0)
+        if stage < s.shielded and rq.route.repeat != known.RETRIABLE:
+            return False
+        if named and news.standing != face.ON_TRIAL and news.cap == 0:
+            return False
+        times, took = self._tries_at(unit.build, rq.place), i.took[self._scope(rq.place)]
+        while times and times[0] < now - s.cap_window - s.tick:
+            times.popleft()
+        while took and took[0] < now - s.cap_window + s.tick:
+            took.popleft()
+        return len(times) + 1 <= s.cap_free + cap * len(took)
+
+    # choosing a unit
+
+    def _pick(self, now: int, rq: Req) -> Unit | None:
+        allowed = [unit for unit in self.i.ready if self._may_send(now, rq, unit)]
+        tried = [one.unit for one in rq.tries]
+        well = [unit for unit in allowed if unit not in tried and not self._aside(now, rq, unit)]
+        pool = well or [unit for unit in allowed if unit not in tried] or allowed
+        if not pool:
+            return None
+        trial = [unit for unit in pool if self._on_trial(unit.build)]
+        if trial and len(trial) < len(pool):
+            doubtful = self.i.news is None or self.i.news.standing != face.ON_TRIAL or self._worst() >= 0.5
+            if rq.tries:
+                # A failed req is tried on the other build, and both outcomes count.
+                other = not self._on_trial(rq.tries[-1].build)
+                pool = trial if other and not doubtful else [unit for unit in pool if unit not in trial]
+            elif doubtful and rq.route.repeat != known.RETRIABLE:
+                pool = [unit for unit in pool if unit not in trial]
+            elif not doubtful and self.i.case.counted < 4 * ENOUGH:
+                one = self._two_choices(now, rq, trial)
+                two = self._two_choices(now, rq, [unit for unit in pool if unit not in trial])
+                return one if self._cost(now, one) <= self._cost(now, two) else two
+        return self._two_choices(now, rq, pool)
+
+    def _two_choices(self, now: int, rq: Req, pool: list[Unit]) -> Unit:
+        near = [unit for unit in pool if unit.zone == self.s.zone] if self.s.crossing_price else pool
+        if not near:
+            return self._better(now, pool)
+        unit = self._better(now, near)
+        if len(near) < len(pool):
+            wait = self._cost(now, unit) * self.i.typical[rq.place]
+            if wait > rq.route.objective / 2:
+                far = self._better(now, [one for one in pool if one.zone != self.s.zone])
+                if self._cost(now, far) * 2 < self._cost(now, unit):
+                    return far
+        return unit
+
+    def _better(self, now: int, pool: list[Unit]) -> Unit:
+        one = pool[self.i.chance.below(len(pool))]
+        two = pool[self.i.chance.below(len(pool))]
+        return one if self._cost(now, one) <= self._cost(now, two) else two
+
+    def _cost(self, now: int, unit: Unit) -> float:
+        return unit.pace * (unit.open + 1) / self._ramp(now, unit)
+
+    def _limit(self, now: int, rq: Req) -> int:
+        left = rq.due - now
+        repeat, objective = rq.route.repeat, rq.route.objective
+        again = repeat == known.RETRIABLE or (repeat == known.DEDUPED and rq.route.memory > objective)
+        if len(rq.tries) < self.s.max_tries and again:
+            return min(left, max(objective * 3 // 5, int(4 * self.i.typical[rq.place])))
+        return left
+
+    # what outcomes tell of units
+
+    def _aside(self, now: int, rq: Req, unit: Unit) -> bool:
+        if unit.aside_until > now:
+            return True
+        # A silent unit gives no outcome until a try's time-out: having left this long unanswered is telling.
+        return unit.unanswered is not None and now - unit.unanswered > max(
+            rq.route.objective / 3, 3 * self.i.typical[rq.place])
+
+    def _learn(self, now: int, rq: Req, done: Try, status: str, lag: int) -> None:
+        i, unit = self.i, done.unit
+        if done.build != unit.build or status in (face.CANCELLED, face.UNSENT):
+            return
+        good = status == face.OK
+        if status not in (face.TIMEOUT, face.UNREACHED):
+            unit.unanswered = now if unit.open else None
+        unit.failing += FAIL_GAIN * ((not good) - unit.failing)
+        i.typical[rq.place] = i.typical[rq.place] or max(lag, 1)
+        pace = lag / i.typical[rq.place]
+        if not good and not self._on_trial(unit.build):
+            pace = max(PACE_OF_FAILURE, pace)
+        unit.pace += PACE_GAIN * (pace - unit.pace)
+        if good:
+            i.typical[rq.place] += PACE_GAIN / 4 * (lag - i.typical[rq.place])
+            unit.aside_for = 0
+            for relay, since in i.asked.pop(unit.id, {}).items():
+                if now - since < 10 * self.s.tip_after:
+                    self.out.append((face.TELL, relay, messages.pack_unit(messages.GOOD, unit.id)))
+            if self.s.keys_stay and rq.key is not None and self._on_trial(done.build):
+                i.keys[rq.key] = done.build
+        elif status in (face.UNREACHED, face.TIMEOUT) or (
+                unit.failing > ASIDE_FAILING and not self._on_trial(unit.build)):
+            # Errors of a build on trial are the judge's to weigh: setting its machines aside would starve it.
+            self._set_aside(now, unit)
+        self._count(now, rq, done, status, lag)
+
+    def _set_aside(self, now: int, unit: Unit) -> None:
+        if unit.aside_until > now:
+            return
+        resting = sum(1 for one in self.i.ready if one.aside_until > now)
+        if 3 * (resting + 1) > len(self.i.ready):
+            return
+        unit.aside_for = min(max(2 * unit.aside_for, self.s.tip_after), 8 * self.s.tip_after)
+        unit.aside_until, unit.failing = now + unit.aside_for, 0.0
+        if self.s.may_tell and self.s.relays > 1:
+            self.out.append((face.TELL, "all", messages.pack_unit(messages.ASIDE, unit.id)))
+
+    # the judge
+
+    def _members(self) -> list[tuple[str, int | None, float, float]]:
+        """Each kind's members: where it shows (None: everywhere), how strongly, its part of the prior."""
+        routes = range(len(self.s.routes))
+        failing = [(FAILING, None, FAIL_ALL)] + [(FAILING, place, FAIL_ROUTE) for place in routes]
+        slow = [(SLOW, None, shift) for shift in SLOWER]
+        wrong = [(WRONG, None, WRONG_SHARE * self.s.complaint_share)] if self.s.complaint_share else []
+        total = sum(PRIORS[kind[0][0]] for kind in (failing, slow, wrong) if kind)
+        return [(*one, PRIORS[one[0]] / total / len(kind)) for kind in (failing, slow, wrong) for one in kind]
+
+    def _open_case(self, build: int) -> None:
+        i = self.i
+        if i.case is not None and build <= i.case.build:
+            return
+        if i.case is not None and i.news is not None and i.news.standing == face.RELEASED:
+            i.base = i.newer
+        i.newer = [Sums() for _ in self.s.routes]
+        weights = [math.log(1 - SUSPECT)] + [math.log(SUSPECT * prior) for *_, prior in self.members]
+        i.case = Case(build, len(self.s.routes), weights)
+
+    def _count(self, now: int, rq: Req, done: Try, status: str, lag: int) -> None:
+        """An outcome as evidence. A time-out tells of latency: its limit is ours, not the build's failure."""
+        i, case = self.i, self.i.case
+        if status in (face.UNREACHED, face.BUSY) or done.fresh or case is None or done.build > case.build:
+            return
+        failed = int(status in (face.FAILED, face.RESET))
+        base = i.base[rq.place]
+        usual = base.logs / base.count if base.count else math.log(max(i.typical[rq.place], 1))
+        logs = usual if failed else math.log(max(lag, 1))
+        if done.build < case.build:
+            case.earlier[rq.place].add(1, failed, logs, logs * logs)
+            base.add(1, failed, logs, logs * logs)
+        else:
+            case.own[rq.place].add(1, failed, logs, logs * logs)
+            i.newer[rq.place].add(1, failed, logs, logs * logs)
+            self._weigh(case, rq.place, 1, failed, logs, 0)
+
+    def _steps(self, place: int, count: int, failed: int, logs: float, complaints: int) -> list[float]:
+        """For each member, log fi - log f0 of one outcome of a batch at its mean, or of complaints."""
+        base = self.i.base[place]
+        fail0 = max(FAIL_FLOOR, (base.failed + FAIL_FLOOR) / (base.count + 1))
+        mean = spread = 0.0
+        if base.count >= BASE_ENOUGH:
+            mean = base.logs / base.count
+            spread = max(SPREAD_FLOOR, math.sqrt(max(base.squares / base.count - mean * mean, 0.0)))
+        steps, part = [], failed / count if count else 0.0
+        for kind, where, strength, _ in self.members:
+            step = 0.0
+            if kind == FAILING and count and where in (None, place):
+                fail1 = fail0 + (1 - fail0) * strength
+                step = part * math.log(fail1 / fail0) + (1 - part) * math.log((1 - fail1) / (1 - fail0))
+            elif kind == SLOW and count and spread:
+                away = min(max((logs / count - mean) / spread, -SPREAD_CLIP), SPREAD_CLIP)
+                step = strength / spread * (away - strength / spread / 2)
+            elif kind == WRONG:
+                wrong1 = strength + FALSE_COMPLAINTS
+                step = complaints * math.log(wrong1 / FALSE_COMPLAINTS) + (count > 0) * math.log(
+                    (1 - wrong1) / (1 - FALSE_COMPLAINTS))
+            steps.append(step)
+        return steps
+
+    def _weigh(self, case: Case, place: int, count: int, failed: int, logs: float, complaints: int) -> None:
+        """The recursion, a batch counting as `count` outcomes at its mean; in logarithms, normalised."""
+        steps, weights = self._steps(place, count, failed, logs, complaints), case.weights
+        change, stay = math.log(CHANGE), math.log(1 - CHANGE)
+        for _ in range(max(count, 1)):
+            sound = weights[0]
+            gained = [sound + stay]
+            for weight, step, (*_, prior) in zip(weights[1:], steps, self.members, strict=True):
+                new = change + math.log(prior) + sound
+                gained.append(max(weight, new) + math.log1p(math.exp(-abs(weight - new))) + step)
+            top = max(gained)
+            total = top + math.log(sum(math.exp(one - top) for one in gained))
+            weights[:] = [one - total for one in gained]
+        case.counted += count
+
+    def _posteriors(self) -> dict[str, float]:
+        kinds: dict[str, float] = {}
+        for (kind, *_), weight in zip(self.members, self.i.case.weights[1:], strict=True):
+            kinds[kind] = kinds.get(kind, 0.0) + math.exp(weight)
+        return kinds
+
+    def _worst(self) -> float:
+        return max(self._posteriors().values()) if self.i.case else 0.0
+
+    # votes
+
+    def _voters(self, build: int) -> list[int]:
+        def rank(relay: int) -> int:
+            return (build * 2654435761 + relay * 40503 + 1) * 2246822519 % (1 << 32)
+        return sorted(range(self.s.relays), key=rank)[:self.s.votes_back + VOTERS_SPARE]
+
+    def _consider_vote(self, now: int) -> None:
+        i, s, vote = self.i, self.s, self.i.vote
+        news = i.news
+        if news is None or i.case is None or i.case.build != news.build:
+            return
+        if s.control == known.ANY and s.me not in self._voters(news.build):
+            return
+        verdict = self._verdict(now, news)
+        if (vote.answer_due and now < vote.answer_due) or now < vote.not_before:
+            return
+        wanted = (news.build, news.stage if verdict in (face.VOTE_ON, face.VOTE_HOLD) else 0, verdict)
+        if vote.said == wanted and now < vote.cast + s.vote_life // 2:
+            return
+        if verdict == face.NO_VOTE and (vote.said is None or vote.said[2] == face.NO_VOTE):
+            return
+        vote.said, vote.cast, vote.answer_due = wanted, now, now + s.vote_timeout + self.beat
+        self.out.append((face.VOTE, news.build, news.stage, verdict))
+        found = " ".join(f"{kind} {part:.2f}" for kind, part in self._posteriors().items())
+        self.out.append((face.NOTE, f"vote {verdict} on build {news.build} stage {news.stage}, "
+                         f"{i.case.counted} counted: {found}"))
+
+    def _verdict(self, now: int, news: News) -> int:
+        worst = self._worst()
+        if news.standing in (face.ON_TRIAL, face.RELEASED) and worst > 1 / (1 + ODDS):
+            return face.VOTE_BACK
+        if news.standing != face.ON_TRIAL:
+            return face.NO_VOTE
+        if self.s.control == known.CLOCKED:
+            return face.VOTE_HOLD if worst >= CALM else face.NO_VOTE
+        machines = [unit.since for unit in self.i.ready if unit.build == news.build]
+        if worst >= CALM or not machines or now - max(machines) < RUN_BEFORE_ON:
+            return face.NO_VOTE
+        places = sum(1 for unit in self.i.ready if unit.build < news.build)
+        due = self.s.stage_shares[news.stage] * places * 0.7 - 1
+        if len(machines) < due and now - news.began < 3 * RUN_BEFORE_ON:
+            return face.NO_VOTE
+        waited = now - max(machines) >= 2 * RUN_BEFORE_ON
+        return face.VOTE_ON if self.i.case.counted >= ENOUGH or waited else face.NO_VOTE
+
+    # peers and the directory
+
+    def _ask(self, now: int) -> None:
+        self.i.asking, self.i.ask_at = True, now
+        self.out.append((face.WATCH,))
+
+    def _tell(self, now: int) -> None:
+        i, case = self.i, self.i.case
+        i.told_at += 1
+        if case is None or not self.s.may_tell or i.told_at % TELL_BEATS:
+            return
+        i.told_number += 1
+        rows = [(int(own.count), int(own.failed), own.logs,
+                 int(old.count), int(old.failed), old.logs, old.squares)
+                for own, old in zip(case.own, case.earlier, strict=True)]
+        epoch = i.started // 1000 % (1 << 32)
+        body = messages.pack_sums(epoch, i.told_number, case.build, case.complained, rows)
+        for relay in self._voters(case.build):
+            if relay != self.s.me:
+                self.out.append((face.TELL, relay, body))
+
+    def _hear(self, relay: int, told: messages.Told) -> None:
+        i, case = self.i, self.i.case
+        if case is None or told.build != case.build or self.s.me not in self._voters(told.build):
+            return
+        gained = case.gain(relay, told.epoch, told.number, told.sums)
+        for place in range(len(self.s.routes) if gained else 0):
+            count, failed, logs, count0, failed0, logs0, squares0 = gained[1 + 7 * place:8 + 7 * place]
+            i.base[place].add(count0, failed0, logs0, squares0)
+            if count > 0:
+                i.newer[place].add(count, failed, logs, logs * logs / count)
+                self._weigh(case, place, int(count), int(failed), logs, 0)
+        if gained and gained[0] > 0:
+            self._weigh(case, 0, 0, 0, 0.0, int(gained[0]))
--- /dev/null
+++ b/laurelcourse/state.py
@@ -0,0 +1,141 @@
+"""State by life: one upstream try, one req, one unit, the instance."""
+
+from collections import deque
+from collections.abc import Iterable
+
+from laurelcourse.chance import Chance
+from laurelcourse.interface import GONE, READY, Listed
+from laurelcourse.settings import Route
+
+NEW, TRYING, ENDED = "new", "trying", "ended"
+
+
+class Try:
+    __slots__ = ("build", "fresh", "may_have_run", "number", "out", "sent", "unit")
+
+    def __init__(self, number: int, unit: "Unit", sent: int, fresh: bool) -> None:
+        self.number, self.unit, self.build, self.sent, self.fresh = number, unit, unit.build, sent, fresh
+        self.out = self.may_have_run = True
+
+
+class Req:
+    __slots__ = ("due", "id", "key", "place", "route", "state", "taken", "tries")
+
+    def __init__(self, name: str, route: Route, place: int, key: int | None, taken: int, due: int) -> None:
+        self.id, self.route, self.place, self.key, self.taken, self.due = name, route, place, key, taken, due
+        self.state, self.tries = NEW, []
+
+
+class Unit:
+    """A unit as the directory lists it, and what this relay saw of it since it started."""
+
+    __slots__ = ("aside_for", "aside_until", "build", "cell", "failing", "health", "id", "open", "pace",
+                 "sends", "since", "size", "unanswered", "zone")
+
+    def __init__(self, entry: Listed) -> None:
+        self.id, self.open = entry.unit, 0
+        self.since = self.build = -1
+        self.list(entry)
+
+    def list(self, entry: Listed) -> None:
+        if (entry.since, entry.build) != (self.since, self.build):
+            self.pace, self.failing, self.unanswered = 1.0, 0.0, None
+            self.aside_until = self.aside_for = 0
+            self.sends: deque[int] = deque()
+        self.zone, self.cell, self.build, self.health = entry.zone, entry.cell, entry.build, entry.health
+        self.size, self.since = entry.size, entry.since
+
+
+class Sums:
+    """Outcomes of one route: how many, how many failed, log latency summed and squared."""
+
+    __slots__ = ("count", "failed", "logs", "squares")
+
+    def __init__(self) -> None:
+        self.count = self.failed = self.logs = self.squares = 0.0
+
+    def add(self, count: float, failed: float, logs: float, squares: float) -> None:
+        self.count += count
+        self.failed += failed
+        self.logs += logs
+        self.squares += squares
+
+    def fade(self, factor: float) -> None:
+        self.count *= factor
+        self.failed *= factor
+        self.logs *= factor
+        self.squares *= factor
+
+    def values(self) -> tuple[float, float, float, float]:
+        return self.count, self.failed, self.logs, self.squares
+
+
+class Case:
+    """What is known of one build: the weights of the judge, and the sums told to the hashed voters."""
+
+    __slots__ = ("build", "complained", "counted", "earlier", "heard", "own", "weights")
+
+    def __init__(self, build: int, routes: int, weights: list[float]) -> None:
+        self.build, self.weights, self.counted, self.complained = build, weights, 0, 0
+        self.own = [Sums() for _ in range(routes)]
+        self.earlier = [Sums() for _ in range(routes)]
+        self.heard: dict[int, tuple[int, int, list[float]]] = {}
+
+    def gain(self, relay: int, epoch: int, number: int, sums: list[float]) -> list[float]:
+        """What a peer's running sums add: nothing where they were overtaken, all since a restart."""
+        before = self.heard.get(relay, (epoch, -1, [0.0] * len(sums)))
+        if (epoch, number) <= before[:2]:
+            return []
+        old = before[2] if epoch == before[0] else [0.0] * len(sums)
+        self.heard[relay] = (epoch, number, sums)
+        return [new - known for new, known in zip(sums, old, strict=True)]
+
+
+class Vote:
+    __slots__ = ("answer_due", "cast", "not_before", "pause", "said")
+
+    def __init__(self) -> None:
+        self.said: tuple[int, int, int] | None = None
+        self.cast = self.not_before = self.answer_due = self.pause = 0
+
+
+class News:
+    """Where the newest build stands, as last told."""
+
+    __slots__ = ("began", "build", "cap", "stage", "standing")
+
+    def __init__(self, build: int, stage: int, standing: int, cap: float, began: int) -> None:
+        self.build, self.stage, self.standing, self.cap, self.began = build, stage, standing, cap, began
+
+
+class Instance:
+    def __init__(self, seed: int, now: int, routes: int) -> None:
+        self.chance, self.started = Chance(seed), now
+        self.units: dict[int, Unit] = {}
+        self.ready: list[Unit] = []
+        self.reqs: dict[str, Req] = {}
+        self.news: News | None = None
+        self.cap, self.cap_next, self.cap_binds = 0.0, 0.0, 0
+        self.tried: dict[tuple[int, int], deque[int]] = {}
+        self.took: list[deque[int]] = [deque() for _ in range(routes)]
+        self.keys: dict[int, int] = {}
+        self.case: Case | None = None
+        self.base = [Sums() for _ in range(routes)]
+        self.newer = [Sums() for _ in range(routes)]
+        self.typical: list[float] = []
+        self.vote = Vote()
+        self.asking, self.ask_at, self.ask_pause = False, 0, 0
+        self.told_at = self.told_number = 0
+        self.asked: dict[int, dict[int, int]] = {}
+
+    def list_units(self, entries: Iterable[Listed], whole: bool) -> None:
+        listed = {entry.unit: entry for entry in entries}
+        for name in self.units if whole else ():
+            if name not in listed:
+                self.units[name].health = GONE
+        for name, entry in listed.items():
+            if name in self.units:
+                self.units[name].list(entry)
+            else:
+                self.units[name] = Unit(entry)
+        self.ready = [self.units[name] for name in sorted(self.units) if self.units[name].health == READY]
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,211 @@
+"""The five rules, the recursion against the paper's sums, the votes, and each failure found."""
+
+import math
+
+import pytest
+
+from laurelcourse import interface as face
+from laurelcourse import messages, rules
+
+SECOND = 1_000_000
+WARM = ((1, "a", 5, 90), (2, "a", 5, 90), (3, "b", 5, 90), (4, "b", 5, 90))
+
+
+def verbs(results: list) -> list[str]:
+    return [one[0] for one in results]
+
+
+@pytest.mark.parametrize("route, statuses, last", [
+    ("read", [face.FAILED, face.TIMEOUT, face.FAILED], face.SHED),
+    ("mark", [face.UNREACHED, face.BUSY, face.UNREACHED], face.SHED),
+    ("mark", [face.BUSY, face.FAILED, face.FAILED], face.ERROR),
+    ("once", [face.FAILED], face.ERROR),
+    ("once", [face.BUSY, face.UNREACHED, face.TIMEOUT], face.ERROR),
+    ("once", [face.BUSY, face.BUSY, face.BUSY], face.SHED)])
+def test_each_req_ends_once_and_as_its_route_allows(
+        relay: type, route: str, statuses: list, last: str) -> None:
+    one = relay()
+    one.list(*WARM)
+    results = one.req(route)
+    sent = results[-1]
+    for number, status in enumerate(statuses):
+        assert verbs(results)[-1] == face.SEND
+        results = [found for found in one.end(sent, number, status) if found[0] != face.TELL]
+    assert verbs(results) == [last] and not one.one.i.reqs
+
+
+@pytest.mark.parametrize("route, may_duplicate, after, units", [
+    ("read", True, 0, [1, 2, 3, 4]), ("read", False, 0, []), ("mark", True, 0, [1, 2]),
+    ("mark", True, 2 * SECOND, []), ("once", True, 0, [])])
+def test_a_second_try_beside_one_that_may_have_run(
+        relay: type, route: str, may_duplicate: bool, after: int, units: list) -> None:
+    one = relay(may_duplicate=may_duplicate)
+    one.list(*WARM[:2])
+    one.req(route, 9 * SECOND)
+    one.list(*WARM)
+    rq, now = one.one.i.reqs["r1"], one.now + after
+    assert [unit.id for unit in one.one.i.ready if one.one._may_send(now, rq, unit)] == units
+
+
+def test_nothing_goes_to_a_unit_that_drains_or_is_gone(relay: type) -> None:
+    one = relay()
+    one.list(*WARM)
+    one.list(WARM[0], how=face.CHANGES, health=face.DRAINING)
+    one.list(WARM[1], how=face.CHANGES, health=face.GONE)
+    assert {one.req()[-1][2] for _ in range(40)} == {3, 4}
+    one.list(WARM[0])
+    assert {one.req()[-1][2] for _ in range(5)} == {1}
+    one.list()
+    assert verbs(one.req()) == [face.SHED]
+
+
+def test_a_cold_unit_gets_a_bounded_part(relay: type) -> None:
+    one = relay()
+    one.list(*WARM, (9, "a", 5, 0))
+    sent = [one.req()[-1][2] for _ in range(200)]
+    taken = 200 * SECOND / one.one.s.cap_window / 5
+    assert 1 <= sent.count(9) <= 0.5 * one.one.s.overload_factor * 0.3 * taken
+
+
+@pytest.mark.parametrize("news, route, most", [
+    (None, "read", 2 + 0.1 * 100), (None, "mark", 0), ({"stage": 1, "cap": 1.0}, "mark", 102),
+    ({"cap": 0.1}, "read", 2 + 0.1 * 100), ({"cap": 0.0, "standing": 1}, "read", 0),
+    ({"cap": 0.0, "standing": 3}, "read", 0)])
+def test_exposure_stays_within_the_cap(relay: type, news: dict | None, route: str, most: float) -> None:
+    one = relay()
+    one.list(*WARM, *((unit, "a", 6, 90) for unit in (7, 8)))
+    if news is not None:
+        one.news(6, **news)
+    sent = [one.req(route)[-1][2] for _ in range(100)]
+    at_trial = sum(unit in (7, 8) for unit in sent)
+    assert at_trial <= most and (at_trial > 0) == (most > 0)
+
+
+def test_a_lower_cap_counts_afresh_after_the_grace(relay: type) -> None:
+    one = relay(shielded=0)
+    one.list((7, "a", 6, 90))
+    one.news(6, stage=1, cap=1.0)
+    one.serve(30, lag=1000)
+    one.news(6, stage=0, standing=1, cap=0.1)
+    assert verbs(one.req()) == [face.SEND]
+    one.now += SECOND
+    assert sum(verbs(one.req()) == [face.SEND] for _ in range(20)) <= 2 + 0.1 * 51
+
+
+def test_lost_watches_are_renewed_with_back_off(relay: type) -> None:
+    one = relay(must_ask=True)
+    assert (face.WATCH,) in one.first
+    gaps, asked = [], one.now
+    for _ in range(8):
+        one.one.directory(one.now, face.BROKEN, [])
+        while (face.WATCH,) not in one.wait(0.05):
+            pass
+        gaps.append(one.now - asked)
+        asked = one.now
+    assert gaps[0] < SECOND // 2 and gaps[-1] > 4 * gaps[0] and max(gaps) <= one.one.s.ask_within // 2
+
+
+def direct(case: list, members: list, steps: list) -> list[float]:
+    """The paper's sums for the weights after a short sequence, with f0 divided out."""
+    p0, p, n = rules.SUSPECT, rules.CHANGE, len(steps)
+    found = [(1 - p0) * (1 - p) ** n]
+    for place, (*_, prior) in enumerate(members):
+        gains = [math.exp(step[place]) for step in steps]
+        found.append(p0 * prior * math.prod(gains) + (1 - p0) * p * prior * sum(
+            (1 - p) ** (k - 1) * math.prod(gains[k - 1:]) for k in range(1, n + 1)))
+    return [one / sum(found) for one in found]
+
+
+@pytest.mark.parametrize("outcomes", [
+    [(0, 0, 0.0)] * 4, [(0, 1, 0.0), (1, 0, 2.0), (2, 1, 0.5)], [(0, 0, 3.0)] * 6 + [(1, 1, 0.0)]])
+def test_the_recursion_gives_the_papers_sums(relay: type, outcomes: list) -> None:
+    one = relay().one
+    one._open_case(6)
+    for base in one.i.base:
+        base.add(100, 1, 100 * 11.0, 100 * (121.0 + 0.49))
+    steps = []
+    for place, failed, away in outcomes:
+        steps.append(one._steps(place, 1, failed, 11.0 + away, 0))
+        one._weigh(one.i.case, place, 1, failed, 11.0 + away, 0)
+    assert [math.exp(weight) for weight in one.i.case.weights] == pytest.approx(
+        direct(outcomes, one.members, steps), rel=1e-6)
+
+
+@pytest.mark.parametrize("many, failed, away, kind", [
+    (5000, 0, 0.0, None), (6000, 3000, 0.0, rules.FAILING), (4000, 0, 0.8, rules.SLOW),
+    (8, 6, 0.0, rules.FAILING)])
+def test_the_judge_names_the_kind_and_never_underflows(
+        relay: type, many: int, failed: int, away: float, kind: str | None) -> None:
+    one = relay().one
+    one._open_case(6)
+    for base in one.i.base:
+        base.add(100, 0, 1100.0, 100 * (121.0 + 0.49))
+    for place in range(many):
+        one._weigh(one.i.case, 0, 1, int(place % many < failed), 11.0 + away, 0)
+    found = one._posteriors()
+    assert sum(map(math.exp, one.i.case.weights)) == pytest.approx(1)
+    assert [name for name in found if found[name] > 1 / (1 + rules.ODDS)] == ([kind] if kind else [])
+    one._weigh(one.i.case, 0, 400, 0, 400 * 11.0, 0)
+    assert sum(map(math.exp, one.i.case.weights)) == pytest.approx(1)
+
+
+@pytest.mark.parametrize("status, verdict, waits", [
+    (face.OK, face.VOTE_ON, 4), (face.FAILED, face.VOTE_BACK, 1)])
+def test_votes_follow_the_posteriors(relay: type, status: str, verdict: int, waits: float) -> None:
+    one = relay(relays=1, cap_free=1000)
+    one.list(*WARM, (7, "a", 6, 0))
+    one.news(6, since=0)
+    early = one.wait(2.9)
+    one.list(*WARM, (7, "a", 6, 2.95))
+    for _ in range(60):
+        sent = one.req()[-1]
+        one.end(sent, 0, status if sent[2] == 7 else face.OK, 20_000, last=True)
+    votes = [found[1:] for found in early + one.wait(waits) if found[0] == face.VOTE]
+    assert votes[0] == (6, 0, verdict) and len(votes) <= 1 + waits * SECOND // (one.one.s.vote_life // 2)
+
+
+def test_a_vote_that_does_not_count_is_cast_again(relay: type) -> None:
+    one = relay(relays=1)
+    one.list(*WARM, (7, "a", 6, 9))
+    one.news(6, since=9 * SECOND)
+    votes = 0
+    for status in (face.REFUSED, face.BROKE, face.UNANSWERED, face.COUNTED):
+        votes += verbs(one.wait(1.2)).count(face.VOTE)
+        one.one.stage(one.now, 6, 0, 0, True, status, 0.1, 9 * SECOND)
+    assert votes == 4
+    assert face.VOTE not in verbs(one.wait(1))
+
+
+def test_each_outcome_of_a_peer_counts_once(relay: type) -> None:
+    nothing = (0, 0, 0.0, 0, 0, 0.0, 0.0)
+    sums = [messages.pack_sums(epoch, number, 6, 0, [(count, 0, count * 11.0, *nothing[3:])] + 2 * [nothing])
+            for epoch, number, count in ((1, 1, 10), (1, 2, 30), (2, 1, 5))]
+    for order, counted in (([0, 1], 30), ([1, 0], 30), ([0, 0, 1, 1], 30), ([1, 2], 35), ([1, 2, 0, 1], 35)):
+        one = relay()
+        one.list(*WARM, (7, "a", 6, 9))
+        one.news(6)
+        for place in order:
+            one.one.peer(one.now, 1, sums[place])
+        assert one.one.i.case.counted == counted
+    for body in (b"", b"\x01", b"\x02" + sums[0][1:], sums[0][:-1], sums[0] + b"x"):
+        assert one.one.peer(one.now, 1, body) == []
+    assert one.one.i.case.counted == 35 and max(map(len, sums)) <= 256
+
+
+def test_a_unit_set_aside_returns_on_a_peers_good_answer(relay: type) -> None:
+    one, other = relay(), relay()
+    for each in (one, other):
+        each.list(*WARM)
+    asked = []
+    while not asked:
+        sent = one.req("once")[-1]
+        status = face.TIMEOUT if sent[2] == 1 else face.OK
+        asked = [found for found in one.end(sent, 0, status, SECOND, last=True) if found[0] == face.TELL]
+    assert 1 not in {one.req()[-1][2] for _ in range(20)}
+    other.one.peer(other.now, 0, asked[0][2])
+    told = []
+    while not told:
+        told = [found for found in other.end(other.req()[-1], 0, face.OK) if found[0] == face.TELL]
+    assert told[0][1] == 0
+    one.one.peer(one.now, 2, told[0][2])
+    assert 1 in {one.req()[-1][2] for _ in range(20)}
