--- a/laurelcourse/messages.py
+++ b/laurelcourse/messages.py
@@ -5,39 +5,45 @@
 from typing import NamedTuple
 
 VERSION, SUMS, ASIDE, GOOD = 1, 1, 2, 3
-HEAD = struct.Struct("<BBIIHH")
-ROW = struct.Struct("<IIfIIff")
+HEAD = struct.Struct("<BBBIIHH")
+ROW = struct.Struct("<IIIfIIIff")
+ROWS = 6
 ABOUT_UNIT = struct.Struct("<BBI")
 
 
 class Told(NamedTuple):
-    """Running sums of one relay: at the build on trial, then at the builds before it, route by route."""
+    """Running sums of one relay for some routes: at the build on trial, then at the builds before it.
 
+    A route's row: counted, failed, timed, summed log latency; then the same and the squares, earlier builds'."""
+
+    first: int
     epoch: int
     number: int
     build: int
-    sums: list[float]
+    complained: int
+    rows: list[tuple]
 
 
 def pack_unit(what: int, unit: int) -> bytes:
     return ABOUT_UNIT.pack(VERSION, what, unit)
 
 
-def pack_sums(epoch: int, number: int, build: int, complained: int, rows: list[tuple]) -> bytes:
-    head = HEAD.pack(VERSION, SUMS, epoch, number, build, complained)
-    return head + b"".join(ROW.pack(*row) for row in rows)
+def pack_sums(epoch: int, number: int, build: int, complained: int, rows: list) -> list[bytes]:
+    """As many messages as the routes need."""
+    return [HEAD.pack(VERSION, SUMS, first, epoch, number, build, complained)
+            + b"".join(ROW.pack(*row) for row in rows[first:first + ROWS]) for first in range(0, len(rows), ROWS)]
 
 
-def unpack(payload: bytes, routes: int) -> tuple[int, object] | None:
+def unpack(payload: bytes, routes: int) -> tuple[int, Told | int] | None:
     if len(payload) < 2 or payload[0] != VERSION:
         return None
     what = payload[1]
     if what in (ASIDE, GOOD) and len(payload) == ABOUT_UNIT.size:
         return what, ABOUT_UNIT.unpack(payload)[2]
-    if what != SUMS or len(payload) != HEAD.size + routes * ROW.size:
+    if what != SUMS or len(payload) < HEAD.size or (len(payload) - HEAD.size) % ROW.size:
+        return None
+    _, _, first, epoch, number, build, complained = HEAD.unpack_from(payload)
+    rows = list(ROW.iter_unpack(payload[HEAD.size:]))
+    if first + len(rows) > routes or not all(math.isfinite(value) for row in rows for value in row):
         return None
-    _, _, epoch, number, build, complained = HEAD.unpack_from(payload)
-    sums: list[float] = [complained]
-    for place in range(routes):
-        sums += ROW.unpack_from(payload, HEAD.size + place * ROW.size)
-    return (SUMS, Told(epoch, number, build, sums)) if all(map(math.isfinite, sums)) else None
+    return SUMS, Told(first, epoch, number, build, complained, rows)
--- a/laurelcourse/rules.py
+++ b/laurelcourse/rules.py
@@ -36,6 +36,7 @@
 SLOWER = (math.log(1.6), math.log(2.6))
 SPREAD_FLOOR, SPREAD_CLIP = 0.5, 2.5
 BASE_ENOUGH, ENOUGH = 8, 25
+MACHINE_LATE = 2.0                 # summed log lateness that one machine may show in a stage
 RUN_BEFORE_ON = 3_000_000
 BASE_HALVES = 8_000_000            # the baseline's half-life
 VOTERS_SPARE = 2
@@ -163,7 +164,7 @@
         case, told = self.i.case, self.i.units.get(unit)
         if case and told and told.build == case.build and told.since < now - since:
             case.complained += 1
-            self._weigh(case, self.places[route], 0, 0, 0.0, 1)
+            self._weigh(case, self.places[route], 0, 0, 0, 0.0, 1)
         return self._results()
 
     # the req's states, and the guard of the five rules
@@ -416,35 +417,50 @@
         i, case = self.i, self.i.case
         if status in (face.UNREACHED, face.BUSY) or done.fresh or case is None or done.build > case.build:
             return
-        failed = int(status in (face.FAILED, face.RESET))
-        base = i.base[rq.place]
-        usual = base.logs / base.count if base.count else math.log(max(i.typical[rq.place], 1))
-        logs = usual if failed else math.log(max(lag, 1))
+        failed, timed, logs = int(status in (face.FAILED, face.RESET)), 0, 0.0
+        if not failed and self._ramp(done.sent, done.unit) >= 1.0:
+            timed, logs = 1, math.log(max(lag, 1))
         if done.build < case.build:
-            case.earlier[rq.place].add(1, failed, logs, logs * logs)
-            base.add(1, failed, logs, logs * logs)
-        else:
-            case.own[rq.place].add(1, failed, logs, logs * logs)
-            i.newer[rq.place].add(1, failed, logs, logs * logs)
-            self._weigh(case, rq.place, 1, failed, logs, 0)
+            for sums in (case.earlier[rq.place], i.base[rq.place]):
+                sums.add(1, failed, timed, logs, logs * logs)
+            return
+        mean, _ = self._usual(rq.place)
+        if timed and mean:
+            # One sick machine would pass for a slow build: it may speak of slowness only so far in each stage.
+            unit, stage = done.unit, i.news.stage if i.news else 0
+            if unit.late_stage != stage:
+                unit.late_stage, unit.late = stage, 0.0
+            logs = min(logs, mean + MACHINE_LATE / self.s.relays - unit.late)
+            unit.late += logs - mean
+            timed = int(unit.late < MACHINE_LATE / self.s.relays)
+            logs *= timed
+        for sums in (case.own[rq.place], i.newer[rq.place]):
+            sums.add(1, failed, timed, logs, logs * logs)
+        self._weigh(case, rq.place, 1, failed, timed, logs, 0)
+
+    def _usual(self, place: int) -> tuple[float, float]:
+        """Mean and spread of log latency at the earlier build; zeros while too little is known."""
+        base = self.i.base[place]
+        if base.timed < BASE_ENOUGH:
+            return 0.0, 0.0
+        mean = base.logs / base.timed
+        return mean, max(SPREAD_FLOOR, math.sqrt(max(base.squares / base.timed - mean * mean, 0.0)))
 
-    def _steps(self, place: int, count: int, failed: int, logs: float, complaints: int) -> list[float]:
+    def _steps(self, place: int, count: int, failed: int, timed: int, logs: float,
+               complaints: int) -> list[float]:
         """For each member, log fi - log f0 of one outcome of a batch at its mean, or of complaints."""
         base = self.i.base[place]
         fail0 = max(FAIL_FLOOR, (base.failed + FAIL_FLOOR) / (base.count + 1))
-        mean = spread = 0.0
-        if base.count >= BASE_ENOUGH:
-            mean = base.logs / base.count
-            spread = max(SPREAD_FLOOR, math.sqrt(max(base.squares / base.count - mean * mean, 0.0)))
+        mean, spread = self._usual(place)
         steps, part = [], failed / count if count else 0.0
         for kind, where, strength, _ in self.members:
             step = 0.0
             if kind == FAILING and count and where in (None, place):
                 fail1 = fail0 + (1 - fail0) * strength
                 step = part * math.log(fail1 / fail0) + (1 - part) * math.log((1 - fail1) / (1 - fail0))
-            elif kind == SLOW and count and spread:
-                away = min(max((logs / count - mean) / spread, -SPREAD_CLIP), SPREAD_CLIP)
-                step = strength / spread * (away - strength / spread / 2)
+            elif kind == SLOW and timed and spread:
+                away = min(max((logs / timed - mean) / spread, -SPREAD_CLIP), SPREAD_CLIP)
+                step = timed / count * strength / spread * (away - strength / spread / 2)
             elif kind == WRONG:
                 wrong1 = strength + FALSE_COMPLAINTS
                 step = complaints * math.log(wrong1 / FALSE_COMPLAINTS) + (count > 0) * math.log(
@@ -452,9 +468,10 @@
             steps.append(step)
         return steps
 
-    def _weigh(self, case: Case, place: int, count: int, failed: int, logs: float, complaints: int) -> None:
+    def _weigh(self, case: Case, place: int, count: int, failed: int, timed: int, logs: float,
+               complaints: int) -> None:
         """The recursion, a batch counting as `count` outcomes at its mean; in logarithms, normalised."""
-        steps, weights = self._steps(place, count, failed, logs, complaints), case.weights
+        steps, weights = self._steps(place, count, failed, timed, logs, complaints), case.weights
         change, stay = math.log(CHANGE), math.log(1 - CHANGE)
         for _ in range(max(count, 1)):
             sound = weights[0]
@@ -513,7 +530,11 @@
         if self.s.control == known.CLOCKED:
             return face.VOTE_HOLD if worst >= CALM else face.NO_VOTE
         machines = [unit.since for unit in self.i.ready if unit.build == news.build]
-        if worst >= CALM or not machines or now - max(machines) < RUN_BEFORE_ON:
+        if not machines or now - max(machines) < RUN_BEFORE_ON:
+            return face.NO_VOTE
+        # One machine's slowness can't tell it from the build: it holds for a while, then a second one is due.
+        alone = len(machines) == 1 and now - machines[0] >= 3 * RUN_BEFORE_ON
+        if any(part >= CALM and not (alone and kind == SLOW) for kind, part in self._posteriors().items()):
             return face.NO_VOTE
         places = sum(1 for unit in self.i.ready if unit.build < news.build)
         due = self.s.stage_shares[news.stage] * places * 0.7 - 1
@@ -534,25 +555,24 @@
         if case is None or not self.s.may_tell or i.told_at % TELL_BEATS:
             return
         i.told_number += 1
-        rows = [(int(own.count), int(own.failed), own.logs,
-                 int(old.count), int(old.failed), old.logs, old.squares)
+        rows = [(int(own.count), int(own.failed), int(own.timed), own.logs,
+                 int(old.count), int(old.failed), int(old.timed), old.logs, old.squares)
                 for own, old in zip(case.own, case.earlier, strict=True)]
         epoch = i.started // 1000 % (1 << 32)
-        body = messages.pack_sums(epoch, i.told_number, case.build, case.complained, rows)
+        bodies = messages.pack_sums(epoch, i.told_number, case.build, case.complained, rows)
         for relay in self._voters(case.build):
             if relay != self.s.me:
-                self.out.append((face.TELL, relay, body))
+                self.out += [(face.TELL, relay, body) for body in bodies]
 
     def _hear(self, relay: int, told: messages.Told) -> None:
         i, case = self.i, self.i.case
         if case is None or told.build != case.build or self.s.me not in self._voters(told.build):
             return
-        gained = case.gain(relay, told.epoch, told.number, told.sums)
-        for place in range(len(self.s.routes) if gained else 0):
-            count, failed, logs, count0, failed0, logs0, squares0 = gained[1 + 7 * place:8 + 7 * place]
-            i.base[place].add(count0, failed0, logs0, squares0)
+        complained, rows = case.gain(relay, told)
+        for place, (count, failed, timed, logs, *earlier) in enumerate(rows, told.first):
+            i.base[place].add(*earlier)
             if count > 0:
-                i.newer[place].add(count, failed, logs, logs * logs / count)
-                self._weigh(case, place, int(count), int(failed), logs, 0)
-        if gained and gained[0] > 0:
-            self._weigh(case, 0, 0, 0, 0.0, int(gained[0]))
+                i.newer[place].add(count, failed, timed, logs, logs * logs / max(timed, 1))
+                self._weigh(case, place, count, failed, timed, logs, 0)
+        if complained > 0:
+            self._weigh(case, 0, 0, 0, 0, 0.0, complained)
--- a/laurelcourse/state.py
+++ b/laurelcourse/state.py
@@ -5,6 +5,7 @@
 
 from laurelcourse.chance import Chance
 from laurelcourse.interface import GONE, READY, Listed
+from laurelcourse.messages import Told
 from laurelcourse.settings import Route
 
 NEW, TRYING, ENDED = "new", "trying", "ended"
@@ -29,8 +30,8 @@
 class Unit:
     """A unit as the directory lists it, and what this relay saw of it since it started."""
 
-    __slots__ = ("aside_for", "aside_until", "build", "cell", "failing", "health", "id", "open", "pace",
-                 "sends", "since", "size", "unanswered", "zone")
+    __slots__ = ("aside_for", "aside_until", "build", "cell", "failing", "health", "id", "late", "late_stage",
+                 "open", "pace", "sends", "since", "size", "unanswered", "zone")
 
     def __init__(self, entry: Listed) -> None:
         self.id, self.open = entry.unit, 0
@@ -40,35 +41,35 @@
     def list(self, entry: Listed) -> None:
         if (entry.since, entry.build) != (self.since, self.build):
             self.pace, self.failing, self.unanswered = 1.0, 0.0, None
-            self.aside_until = self.aside_for = 0
+            self.aside_until = self.aside_for = self.late_stage = 0
+            self.late = 0.0
             self.sends: deque[int] = deque()
         self.zone, self.cell, self.build, self.health = entry.zone, entry.cell, entry.build, entry.health
         self.size, self.since = entry.size, entry.since
 
 
 class Sums:
-    """Outcomes of one route: how many, how many failed, log latency summed and squared."""
+    """Outcomes of one route: how many, how many failed, how many timed, log latency summed and squared."""
 
-    __slots__ = ("count", "failed", "logs", "squares")
+    __slots__ = ("count", "failed", "logs", "squares", "timed")
 
     def __init__(self) -> None:
-        self.count = self.failed = self.logs = self.squares = 0.0
+        self.count = self.failed = self.timed = self.logs = self.squares = 0.0
 
-    def add(self, count: float, failed: float, logs: float, squares: float) -> None:
+    def add(self, count: float, failed: float, timed: float, logs: float, squares: float) -> None:
         self.count += count
         self.failed += failed
+        self.timed += timed
         self.logs += logs
         self.squares += squares
 
     def fade(self, factor: float) -> None:
         self.count *= factor
         self.failed *= factor
+        self.timed *= factor
         self.logs *= factor
         self.squares *= factor
 
-    def values(self) -> tuple[float, float, float, float]:
-        return self.count, self.failed, self.logs, self.squares
-
 
 class Case:
     """What is known of one build: the weights of the judge, and the sums told to the hashed voters."""
@@ -79,16 +80,19 @@
         self.build, self.weights, self.counted, self.complained = build, weights, 0, 0
         self.own = [Sums() for _ in range(routes)]
         self.earlier = [Sums() for _ in range(routes)]
-        self.heard: dict[int, tuple[int, int, list[float]]] = {}
+        self.heard: dict[tuple[int, int], Told] = {}
 
-    def gain(self, relay: int, epoch: int, number: int, sums: list[float]) -> list[float]:
+    def gain(self, relay: int, told: Told) -> tuple[int, list[list[float]]]:
         """What a peer's running sums add: nothing where they were overtaken, all since a restart."""
-        before = self.heard.get(relay, (epoch, -1, [0.0] * len(sums)))
-        if (epoch, number) <= before[:2]:
-            return []
-        old = before[2] if epoch == before[0] else [0.0] * len(sums)
-        self.heard[relay] = (epoch, number, sums)
-        return [new - known for new, known in zip(sums, old, strict=True)]
+        before = self.heard.get((relay, told.first))
+        if before and (told.epoch, told.number) <= (before.epoch, before.number):
+            return 0, []
+        self.heard[relay, told.first] = told
+        if not before or before.epoch != told.epoch or len(before.rows) != len(told.rows):
+            return told.complained, [list(row) for row in told.rows]
+        return told.complained - before.complained, [
+            [new - old for new, old in zip(*pair, strict=True)]
+            for pair in zip(told.rows, before.rows, strict=True)]
 
 
 class Vote:
