--- a/laurelcourse/messages.py
+++ b/laurelcourse/messages.py
@@ -14,7 +14,7 @@
 class Told(NamedTuple):
     """Running sums of one relay for some routes: at the build on trial, then at the builds before it.
 
-    A route's row: counted, failed, timed, summed log latency; then the same and the squares, earlier builds'."""
+    A route's row: counted, failed, timed, summed log latency; then earlier builds' and their squares."""
 
     first: int
     epoch: int
--- a/laurelcourse/rules.py
+++ b/laurelcourse/rules.py
@@ -35,8 +35,8 @@
 FAIL_ALL, FAIL_ROUTE, WRONG_SHARE = 0.15, 0.5, 0.1
 SLOWER = (math.log(1.6), math.log(2.6))
 SPREAD_FLOOR, SPREAD_CLIP = 0.5, 2.5
-BASE_ENOUGH, ENOUGH = 8, 25
-MACHINE_LATE = 2.0                 # summed log lateness that one machine may show in a stage
+BASE_ENOUGH, ENOUGH = 8, 12
+TRIAL_FAVOUR = 2.0                 # how much dearer a choice on trial may be while the build is being judged
 RUN_BEFORE_ON = 3_000_000
 BASE_HALVES = 8_000_000            # the baseline's half-life
 VOTERS_SPARE = 2
@@ -151,6 +151,8 @@
                 vote.not_before = now + vote.pause + i.chance.below(vote.pause)
         if status == face.COUNTED:
             self._cap_told(now, build, standing, cap)
+            if i.case and i.news and i.news.build == build == i.case.build and stage > i.news.stage:
+                self._move_on(i.case)
             i.news = News(build, stage, standing, cap, now - since)
             self._open_case(build)
         return self._results()
@@ -312,7 +314,7 @@
             elif not doubtful and self.i.case.counted < 4 * ENOUGH:
                 one = self._two_choices(now, rq, trial)
                 two = self._two_choices(now, rq, [unit for unit in pool if unit not in trial])
-                return one if self._cost(now, one) <= self._cost(now, two) else two
+                return one if self._cost(now, one) <= TRIAL_FAVOUR * self._cost(now, two) else two
         return self._two_choices(now, rq, pool)
 
     def _two_choices(self, now: int, rq: Req, pool: list[Unit]) -> Unit:
@@ -402,6 +404,9 @@
         total = sum(PRIORS[kind[0][0]] for kind in (failing, slow, wrong) if kind)
         return [(*one, PRIORS[one[0]] / total / len(kind)) for kind in (failing, slow, wrong) for one in kind]
 
+    def _start(self) -> list[float]:
+        return [math.log(1 - SUSPECT)] + [math.log(SUSPECT * prior) for *_, prior in self.members]
+
     def _open_case(self, build: int) -> None:
         i = self.i
         if i.case is not None and build <= i.case.build:
@@ -409,8 +414,13 @@
         if i.case is not None and i.news is not None and i.news.standing == face.RELEASED:
             i.base = i.newer
         i.newer = [Sums() for _ in self.s.routes]
-        weights = [math.log(1 - SUSPECT)] + [math.log(SUSPECT * prior) for *_, prior in self.members]
-        i.case = Case(build, len(self.s.routes), weights)
+        places = sum(1 for unit in i.ready if unit.build < build)
+        i.case = Case(build, places, len(self.s.routes), self._start())
+
+    def _move_on(self, case: Case) -> None:
+        """A stage that went on in spite of one slow machine: the next is judged without what that one said."""
+        if self._posteriors()[SLOW] >= CALM:
+            case.weights = self._start()
 
     def _count(self, now: int, rq: Req, done: Try, status: str, lag: int) -> None:
         """An outcome as evidence. A time-out tells of latency: its limit is ours, not the build's failure."""
@@ -424,16 +434,6 @@
             for sums in (case.earlier[rq.place], i.base[rq.place]):
                 sums.add(1, failed, timed, logs, logs * logs)
             return
-        mean, _ = self._usual(rq.place)
-        if timed and mean:
-            # One sick machine would pass for a slow build: it may speak of slowness only so far in each stage.
-            unit, stage = done.unit, i.news.stage if i.news else 0
-            if unit.late_stage != stage:
-                unit.late_stage, unit.late = stage, 0.0
-            logs = min(logs, mean + MACHINE_LATE / self.s.relays - unit.late)
-            unit.late += logs - mean
-            timed = int(unit.late < MACHINE_LATE / self.s.relays)
-            logs *= timed
         for sums in (case.own[rq.place], i.newer[rq.place]):
             sums.add(1, failed, timed, logs, logs * logs)
         self._weigh(case, rq.place, 1, failed, timed, logs, 0)
@@ -522,23 +522,23 @@
                          f"{i.case.counted} counted: {found}"))
 
     def _verdict(self, now: int, news: News) -> int:
-        worst = self._worst()
-        if news.standing in (face.ON_TRIAL, face.RELEASED) and worst > 1 / (1 + ODDS):
+        machines = [unit.since for unit in self.i.ready if unit.build == news.build]
+        found, alone = self._posteriors(), len(machines) < 2
+        worst = max(found.values())
+        # One machine's slowness can't tell it from the build: it holds for a while, then a second one is due.
+        if news.standing in (face.ON_TRIAL, face.RELEASED) and any(
+                part > 1 / (1 + ODDS) and not (alone and kind == SLOW) for kind, part in found.items()):
             return face.VOTE_BACK
         if news.standing != face.ON_TRIAL:
             return face.NO_VOTE
         if self.s.control == known.CLOCKED:
             return face.VOTE_HOLD if worst >= CALM else face.NO_VOTE
-        machines = [unit.since for unit in self.i.ready if unit.build == news.build]
         if not machines or now - max(machines) < RUN_BEFORE_ON:
             return face.NO_VOTE
-        # One machine's slowness can't tell it from the build: it holds for a while, then a second one is due.
-        alone = len(machines) == 1 and now - machines[0] >= 3 * RUN_BEFORE_ON
-        if any(part >= CALM and not (alone and kind == SLOW) for kind, part in self._posteriors().items()):
+        alone = alone and now - machines[0] >= 3 * RUN_BEFORE_ON
+        if any(part >= CALM and not (alone and kind == SLOW) for kind, part in found.items()):
             return face.NO_VOTE
-        places = sum(1 for unit in self.i.ready if unit.build < news.build)
-        due = self.s.stage_shares[news.stage] * places * 0.7 - 1
-        if len(machines) < due and now - news.began < 3 * RUN_BEFORE_ON:
+        if len(machines) < int(self.s.stage_shares[news.stage] * self.i.case.places + 0.5) and now - news.began < 3 * RUN_BEFORE_ON:
             return face.NO_VOTE
         waited = now - max(machines) >= 2 * RUN_BEFORE_ON
         return face.VOTE_ON if self.i.case.counted >= ENOUGH or waited else face.NO_VOTE
--- a/laurelcourse/state.py
+++ b/laurelcourse/state.py
@@ -30,8 +30,8 @@
 class Unit:
     """A unit as the directory lists it, and what this relay saw of it since it started."""
 
-    __slots__ = ("aside_for", "aside_until", "build", "cell", "failing", "health", "id", "late", "late_stage",
-                 "open", "pace", "sends", "since", "size", "unanswered", "zone")
+    __slots__ = ("aside_for", "aside_until", "build", "cell", "failing", "health", "id", "open", "pace",
+                 "sends", "since", "size", "unanswered", "zone")
 
     def __init__(self, entry: Listed) -> None:
         self.id, self.open = entry.unit, 0
@@ -41,8 +41,7 @@
     def list(self, entry: Listed) -> None:
         if (entry.since, entry.build) != (self.since, self.build):
             self.pace, self.failing, self.unanswered = 1.0, 0.0, None
-            self.aside_until = self.aside_for = self.late_stage = 0
-            self.late = 0.0
+            self.aside_until = self.aside_for = 0
             self.sends: deque[int] = deque()
         self.zone, self.cell, self.build, self.health = entry.zone, entry.cell, entry.build, entry.health
         self.size, self.since = entry.size, entry.since
@@ -74,10 +73,10 @@
 class Case:
     """What is known of one build: the weights of the judge, and the sums told to the hashed voters."""
 
-    __slots__ = ("build", "complained", "counted", "earlier", "heard", "own", "weights")
+    __slots__ = ("build", "complained", "counted", "earlier", "heard", "own", "places", "weights")
 
-    def __init__(self, build: int, routes: int, weights: list[float]) -> None:
-        self.build, self.weights, self.counted, self.complained = build, weights, 0, 0
+    def __init__(self, build: int, places: int, routes: int, weights: list[float]) -> None:
+        self.build, self.places, self.weights, self.counted, self.complained = build, places, weights, 0, 0
         self.own = [Sums() for _ in range(routes)]
         self.earlier = [Sums() for _ in range(routes)]
         self.heard: dict[tuple[int, int], Told] = {}
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -178,7 +178,7 @@
 
 def test_each_outcome_of_a_peer_counts_once(relay: type) -> None:
     nothing = (0, 0, 0, 0.0, 0, 0, 0, 0.0, 0.0)
-    sums = [messages.pack_sums(epoch, number, 6, 0, [(count, 0, count, count * 11.0, *nothing[4:]), nothing])[0]
+    sums = [messages.pack_sums(epoch, number, 6, 0, [(count, 0, count, count * 11.0, *nothing[4:])])[0]
             for epoch, number, count in ((1, 1, 10), (1, 2, 30), (2, 1, 5))]
     for order, counted in (([0, 1], 30), ([1, 0], 30), ([0, 0, 1, 1], 30), ([1, 2], 35), ([1, 2, 0, 1], 35)):
         one = relay()
