--- a/laurelcourse/messages.py
+++ b/laurelcourse/messages.py
@@ -30,8 +30,11 @@
 
 def pack_sums(epoch: int, number: int, build: int, complained: int, rows: list) -> list[bytes]:
     """As many messages as the routes need."""
-    return [HEAD.pack(VERSION, SUMS, first, epoch, number, build, complained)
-            + b"".join(ROW.pack(*row) for row in rows[first:first + ROWS]) for first in range(0, len(rows), ROWS)]
+    found = []
+    for first in range(0, len(rows), ROWS):
+        packed = b"".join(ROW.pack(*row) for row in rows[first:first + ROWS])
+        found.append(HEAD.pack(VERSION, SUMS, first, epoch, number, build, complained) + packed)
+    return found
 
 
 def unpack(payload: bytes, routes: int) -> tuple[int, Told | int] | None:
--- a/laurelcourse/rules.py
+++ b/laurelcourse/rules.py
@@ -33,9 +33,10 @@
 PRIORS = {FAILING: 0.5, SLOW: 0.35, WRONG: 0.15}
 FAIL_FLOOR, FALSE_COMPLAINTS = 0.01, 0.005
 FAIL_ALL, FAIL_ROUTE, WRONG_SHARE = 0.15, 0.5, 0.1
-SLOWER = (math.log(1.6), math.log(2.6))
+SLOWER = (math.log(1.8), math.log(3.0))
 SPREAD_FLOOR, SPREAD_CLIP = 0.5, 2.5
 BASE_ENOUGH, ENOUGH = 8, 12
+UNLIKE_NOISE, UNLIKE_FLOOR = 0.05, 0.06
 TRIAL_FAVOUR = 2.0                 # how much dearer a choice on trial may be while the build is being judged
 RUN_BEFORE_ON = 3_000_000
 BASE_HALVES = 8_000_000            # the baseline's half-life
@@ -46,7 +47,7 @@
 PACE_GAIN, FAIL_GAIN = 0.2, 0.25
 PACE_OF_FAILURE = 4.0
 ASIDE_FAILING = 0.5
-COLD_SAFETY = 0.5
+COLD_SAFETY, ANSWERED_OVER = 0.5, 4
 COME_BACK_SHARE = 0.5
 
 
@@ -72,7 +73,10 @@
                 repeated: bool) -> list[Result]:
         place = self.places[route]
         rq = self.i.reqs[req] = Req(req, self.s.routes[place], place, key, now, now + left)
-        self.i.took[self._scope(place)].append(now)
+        took = self.i.took[self._scope(place)]
+        took.append(now)
+        while took[0] < now - self.s.cap_window + self.s.tick:
+            took.popleft()
         self._try_or_end(now, rq)
         return self._results()
 
@@ -118,6 +122,8 @@
         i = self.i
         if self.s.must_ask and i.ask_at and not i.asking and now >= i.ask_at:
             self._ask(now)
+        if i.case:
+            i.case.timed *= self.fade
         for base in i.base + i.newer:
             if base.count > BASE_ENOUGH * 4:
                 base.fade(self.fade)
@@ -149,6 +155,8 @@
             else:
                 vote.said, vote.pause = None, min(max(2 * vote.pause, self.beat), self.s.vote_life // 4)
                 vote.not_before = now + vote.pause + i.chance.below(vote.pause)
+                if status == face.VOID:
+                    vote.not_before = now + self.s.vote_timeout  # the news that it lags behind is on its way
         if status == face.COUNTED:
             self._cap_told(now, build, standing, cap)
             if i.case and i.news and i.news.build == build == i.case.build and stage > i.news.stage:
@@ -239,9 +247,10 @@
             unit.sends.popleft()
         if ramp >= 1.0:
             return True
-        taken = sum(len(times) for times in self.i.took)
-        span = max(self.s.cap_window, self.s.tip_after)
-        usual = taken * self.s.tip_after / span / max(len(self.i.ready), 1)
+        # Answers, not reqs, tell what a warm unit can do: in an overload far more is asked than anyone could take.
+        while self.i.answered and self.i.answered[0] <= now - ANSWERED_OVER * self.s.tip_after:
+            self.i.answered.popleft()
+        usual = len(self.i.answered) / ANSWERED_OVER / max(len(self.i.ready), 1)
         return len(unit.sends) + 1 <= max(1.0, COLD_SAFETY * self.s.overload_factor * ramp * usual)
 
     def _scope(self, place: int) -> int:
@@ -311,7 +320,7 @@
                 pool = trial if other and not doubtful else [unit for unit in pool if unit not in trial]
             elif doubtful and rq.route.repeat != known.RETRIABLE:
                 pool = [unit for unit in pool if unit not in trial]
-            elif not doubtful and self.i.case.counted < 4 * ENOUGH:
+            elif not doubtful and self.i.case.counted < 2 * ENOUGH:
                 one = self._two_choices(now, rq, trial)
                 two = self._two_choices(now, rq, [unit for unit in pool if unit not in trial])
                 return one if self._cost(now, one) <= TRIAL_FAVOUR * self._cost(now, two) else two
@@ -371,6 +380,7 @@
         if good:
             i.typical[rq.place] += PACE_GAIN / 4 * (lag - i.typical[rq.place])
             unit.aside_for = 0
+            i.answered.append(now)
             for relay, since in i.asked.pop(unit.id, {}).items():
                 if now - since < 10 * self.s.tip_after:
                     self.out.append((face.TELL, relay, messages.pack_unit(messages.GOOD, unit.id)))
@@ -418,9 +428,10 @@
         i.case = Case(build, places, len(self.s.routes), self._start())
 
     def _move_on(self, case: Case) -> None:
-        """A stage that went on in spite of one slow machine: the next is judged without what that one said."""
+        """A stage that went on in spite of one slow machine: the next is judged without its word."""
         if self._posteriors()[SLOW] >= CALM:
             case.weights = self._start()
+        case.timed = 0.0
 
     def _count(self, now: int, rq: Req, done: Try, status: str, lag: int) -> None:
         """An outcome as evidence. A time-out tells of latency: its limit is ours, not the build's failure."""
@@ -446,12 +457,25 @@
         mean = base.logs / base.timed
         return mean, max(SPREAD_FLOOR, math.sqrt(max(base.squares / base.timed - mean * mean, 0.0)))
 
+    def _machines(self, build: int) -> list[Unit]:
+        return [unit for unit in self.i.ready if unit.build == build]
+
+    def _unlike(self) -> float:
+        """How far the earlier build's machines differ among themselves: variance of log pace, without its noise."""
+        paces = [math.log(max(unit.pace, 0.1)) for unit in self.i.ready if unit.build < self.i.case.build]
+        mean = sum(paces) / max(len(paces), 1)
+        return max(sum((pace - mean) ** 2 for pace in paces) / max(len(paces) - 1, 1) - UNLIKE_NOISE, UNLIKE_FLOOR)
+
     def _steps(self, place: int, count: int, failed: int, timed: int, logs: float,
                complaints: int) -> list[float]:
         """For each member, log fi - log f0 of one outcome of a batch at its mean, or of complaints."""
         base = self.i.base[place]
         fail0 = max(FAIL_FLOOR, (base.failed + FAIL_FLOOR) / (base.count + 1))
         mean, spread = self._usual(place)
+        # The paper assumes independent outcomes; those of one machine hang together, and a sick one or its
+        # neighbour would pass for a slow build: a machine's latencies count as no more than a few outcomes.
+        most = spread * spread / self._unlike() * max(len(self._machines(self.i.case.build)), 1)
+        temper = (most / (most + self.i.case.timed)) ** 2 if most else 0.0
         steps, part = [], failed / count if count else 0.0
         for kind, where, strength, _ in self.members:
             step = 0.0
@@ -460,7 +484,7 @@
                 step = part * math.log(fail1 / fail0) + (1 - part) * math.log((1 - fail1) / (1 - fail0))
             elif kind == SLOW and timed and spread:
                 away = min(max((logs / timed - mean) / spread, -SPREAD_CLIP), SPREAD_CLIP)
-                step = timed / count * strength / spread * (away - strength / spread / 2)
+                step = temper * timed / count * strength / spread * (away - strength / spread / 2)
             elif kind == WRONG:
                 wrong1 = strength + FALSE_COMPLAINTS
                 step = complaints * math.log(wrong1 / FALSE_COMPLAINTS) + (count > 0) * math.log(
@@ -483,6 +507,7 @@
             total = top + math.log(sum(math.exp(one - top) for one in gained))
             weights[:] = [one - total for one in gained]
         case.counted += count
+        case.timed += timed
 
     def _posteriors(self) -> dict[str, float]:
         kinds: dict[str, float] = {}
@@ -522,7 +547,7 @@
                          f"{i.case.counted} counted: {found}"))
 
     def _verdict(self, now: int, news: News) -> int:
-        machines = [unit.since for unit in self.i.ready if unit.build == news.build]
+        machines = [unit.since for unit in self._machines(news.build)]
         found, alone = self._posteriors(), len(machines) < 2
         worst = max(found.values())
         # One machine's slowness can't tell it from the build: it holds for a while, then a second one is due.
@@ -538,7 +563,8 @@
         alone = alone and now - machines[0] >= 3 * RUN_BEFORE_ON
         if any(part >= CALM and not (alone and kind == SLOW) for kind, part in found.items()):
             return face.NO_VOTE
-        if len(machines) < int(self.s.stage_shares[news.stage] * self.i.case.places + 0.5) and now - news.began < 3 * RUN_BEFORE_ON:
+        due = int(self.s.stage_shares[news.stage] * self.i.case.places + 0.5)
+        if len(machines) < due and now - news.began < 3 * RUN_BEFORE_ON:
             return face.NO_VOTE
         waited = now - max(machines) >= 2 * RUN_BEFORE_ON
         return face.VOTE_ON if self.i.case.counted >= ENOUGH or waited else face.NO_VOTE
--- a/laurelcourse/state.py
+++ b/laurelcourse/state.py
@@ -73,10 +73,11 @@
 class Case:
     """What is known of one build: the weights of the judge, and the sums told to the hashed voters."""
 
-    __slots__ = ("build", "complained", "counted", "earlier", "heard", "own", "places", "weights")
+    __slots__ = ("build", "complained", "counted", "earlier", "heard", "own", "places", "timed", "weights")
 
     def __init__(self, build: int, places: int, routes: int, weights: list[float]) -> None:
         self.build, self.places, self.weights, self.counted, self.complained = build, places, weights, 0, 0
+        self.timed = 0.0
         self.own = [Sums() for _ in range(routes)]
         self.earlier = [Sums() for _ in range(routes)]
         self.heard: dict[tuple[int, int], Told] = {}
@@ -121,6 +122,7 @@
         self.cap, self.cap_next, self.cap_binds = 0.0, 0.0, 0
         self.tried: dict[tuple[int, int], deque[int]] = {}
         self.took: list[deque[int]] = [deque() for _ in range(routes)]
+        self.answered: deque[int] = deque()
         self.keys: dict[int, int] = {}
         self.case: Case | None = None
         self.base = [Sums() for _ in range(routes)]
