--- a/laurelcourse/rules.py
+++ b/laurelcourse/rules.py
@@ -30,10 +30,10 @@
 ODDS = 0.05                        # every Ai
 CALM = 0.2
 FAILING, SLOW, WRONG = "failing", "slow", "wrong"
-PRIORS = {FAILING: 0.5, SLOW: 0.35, WRONG: 0.15}
+PRIORS = {FAILING: 0.5, SLOW: 0.25, WRONG: 0.25}
 FAIL_FLOOR, FALSE_COMPLAINTS = 0.01, 0.005
 FAIL_ALL, FAIL_ROUTE, WRONG_SHARE = 0.15, 0.5, 0.1
-SLOWER = (math.log(1.8), math.log(3.0))
+SLOWER = (math.log(2.5),)
 SPREAD_FLOOR, SPREAD_CLIP = 0.5, 2.5
 BASE_ENOUGH, ENOUGH = 8, 12
 UNLIKE_NOISE, UNLIKE_FLOOR = 0.05, 0.06
@@ -247,7 +247,7 @@
             unit.sends.popleft()
         if ramp >= 1.0:
             return True
-        # Answers, not reqs, tell what a warm unit can do: in an overload far more is asked than anyone could take.
+        # Answers, not reqs, tell what a warm unit can do: in an overload far more is asked for than it can do.
         while self.i.answered and self.i.answered[0] <= now - ANSWERED_OVER * self.s.tip_after:
             self.i.answered.popleft()
         usual = len(self.i.answered) / ANSWERED_OVER / max(len(self.i.ready), 1)
@@ -313,14 +313,16 @@
             return None
         trial = [unit for unit in pool if self._on_trial(unit.build)]
         if trial and len(trial) < len(pool):
-            doubtful = self.i.news is None or self.i.news.standing != face.ON_TRIAL or self._worst() >= 0.5
+            found = self._posteriors()
+            doubtful = (self.i.news is None or self.i.news.standing != face.ON_TRIAL
+                        or found[FAILING] + found.get(WRONG, 0.0) >= 0.5)
             if rq.tries:
                 # A failed req is tried on the other build, and both outcomes count.
                 other = not self._on_trial(rq.tries[-1].build)
                 pool = trial if other and not doubtful else [unit for unit in pool if unit not in trial]
             elif doubtful and rq.route.repeat != known.RETRIABLE:
                 pool = [unit for unit in pool if unit not in trial]
-            elif not doubtful and self.i.case.counted < 2 * ENOUGH:
+            elif not doubtful and self.i.case.timed < 2 * ENOUGH:
                 one = self._two_choices(now, rq, trial)
                 two = self._two_choices(now, rq, [unit for unit in pool if unit not in trial])
                 return one if self._cost(now, one) <= TRIAL_FAVOUR * self._cost(now, two) else two
@@ -461,10 +463,11 @@
         return [unit for unit in self.i.ready if unit.build == build]
 
     def _unlike(self) -> float:
-        """How far the earlier build's machines differ among themselves: variance of log pace, without its noise."""
+        """How far the earlier build's machines differ: variance of log pace, less its noise."""
         paces = [math.log(max(unit.pace, 0.1)) for unit in self.i.ready if unit.build < self.i.case.build]
         mean = sum(paces) / max(len(paces), 1)
-        return max(sum((pace - mean) ** 2 for pace in paces) / max(len(paces) - 1, 1) - UNLIKE_NOISE, UNLIKE_FLOOR)
+        unlike = sum((pace - mean) ** 2 for pace in paces) / max(len(paces) - 1, 1)
+        return max(unlike - UNLIKE_NOISE, UNLIKE_FLOOR)
 
     def _steps(self, place: int, count: int, failed: int, timed: int, logs: float,
                complaints: int) -> list[float]:
