--- a/laurelcourse/rules.py
+++ b/laurelcourse/rules.py
@@ -37,7 +37,7 @@
 SPREAD_FLOOR, SPREAD_CLIP = 0.5, 2.5
 BASE_ENOUGH, ENOUGH = 8, 12
 UNLIKE_NOISE, UNLIKE_FLOOR = 0.05, 0.06
-TRIAL_FAVOUR = 2.0                 # how much dearer a choice on trial may be while the build is being judged
+TRIAL_DEARER = 4.0                 # how much dearer a choice on trial may be than one elsewhere
 RUN_BEFORE_ON = 3_000_000
 BASE_HALVES = 8_000_000            # the baseline's half-life
 VOTERS_SPARE = 2
@@ -247,7 +247,7 @@
             unit.sends.popleft()
         if ramp >= 1.0:
             return True
-        # Answers, not reqs, tell what a warm unit can do: in an overload far more is asked for than it can do.
+        # Answers, not reqs, tell what a warm unit can do: in an overload far more is asked for.
         while self.i.answered and self.i.answered[0] <= now - ANSWERED_OVER * self.s.tip_after:
             self.i.answered.popleft()
         usual = len(self.i.answered) / ANSWERED_OVER / max(len(self.i.ready), 1)
@@ -322,10 +322,13 @@
                 pool = trial if other and not doubtful else [unit for unit in pool if unit not in trial]
             elif doubtful and rq.route.repeat != known.RETRIABLE:
                 pool = [unit for unit in pool if unit not in trial]
-            elif not doubtful and self.i.case.timed < 2 * ENOUGH:
+            elif not doubtful:
+                # What machines on trial get is their part, wherever they stand: more, from several relays at once,
+                # would queue there and pass for slowness; less would leave the build unjudged.
                 one = self._two_choices(now, rq, trial)
                 two = self._two_choices(now, rq, [unit for unit in pool if unit not in trial])
-                return one if self._cost(now, one) <= TRIAL_FAVOUR * self._cost(now, two) else two
+                due = self.i.chance.below(len(pool)) < len(trial)
+                return one if due and self._cost(now, one) <= TRIAL_DEARER * self._cost(now, two) else two
         return self._two_choices(now, rq, pool)
 
     def _two_choices(self, now: int, rq: Req, pool: list[Unit]) -> Unit:
