Relays tell each other their open tries a unit; silent units are left, not timed out

Causes: each relay saw only its own share of a queue, so queues grew unevenly; time-outs from the objective cut long reqs that were running well.

--- a/laurelcourse/messages.py
+++ b/laurelcourse/messages.py
@@ -4,10 +4,12 @@
 import struct
 from typing import NamedTuple
 
-VERSION, SUMS, ASIDE, GOOD = 1, 1, 2, 3
+VERSION, SUMS, ASIDE, GOOD, LOADS = 1, 1, 2, 3, 4
 HEAD = struct.Struct("<BBBIIHH")
 ROW = struct.Struct("<IIIfIIIff")
 ROWS = 6
+LOAD = struct.Struct("<IB")
+MOST_LOADS = 50
 ABOUT_UNIT = struct.Struct("<BBI")
 
 
@@ -28,6 +30,11 @@
     return ABOUT_UNIT.pack(VERSION, what, unit)
 
 
+def pack_loads(loads: list[tuple[int, int]]) -> bytes:
+    packed = [LOAD.pack(unit, min(count, 255)) for unit, count in loads[:MOST_LOADS]]
+    return bytes((VERSION, LOADS)) + b"".join(packed)
+
+
 def pack_sums(epoch: int, number: int, build: int, complained: int, rows: list) -> list[bytes]:
     """As many messages as the routes need."""
     found = []
@@ -37,12 +44,14 @@
     return found
 
 
-def unpack(payload: bytes, routes: int) -> tuple[int, Told | int] | None:
+def unpack(payload: bytes, routes: int) -> tuple[int, Told | dict[int, int] | int] | None:
     if len(payload) < 2 or payload[0] != VERSION:
         return None
     what = payload[1]
     if what in (ASIDE, GOOD) and len(payload) == ABOUT_UNIT.size:
         return what, ABOUT_UNIT.unpack(payload)[2]
+    if what == LOADS and (len(payload) - 2) % LOAD.size == 0:
+        return what, dict(LOAD.iter_unpack(payload[2:]))
     if what != SUMS or len(payload) < HEAD.size or (len(payload) - HEAD.size) % ROW.size:
         return None
     _, _, first, epoch, number, build, complained = HEAD.unpack_from(payload)
--- a/laurelcourse/rules.py
+++ b/laurelcourse/rules.py
@@ -8,7 +8,7 @@
 1. guard: every send, shed and error passes one place that keeps the five rules.
 2. pace: a unit's expected wait, from its latencies and this relay's open tries, steers the two choices.
 3. set-aside: a failing, silent or unreachable unit rests, and returns by time or by a peer's good answer.
-4. observed time-outs: a try that may be repeated is cut while the latency objective can still be met.
+4. leaving the silent: a req at a unit that answers nobody is tried elsewhere while it can be in time.
 5. home first: a unit of the own zone is taken unless it would make the req late.
 6. shedding: what can't be answered in time is given up at once.
 """
@@ -38,12 +38,19 @@
 BASE_ENOUGH, ENOUGH = 8, 12
 UNLIKE_NOISE, UNLIKE_FLOOR = 0.05, 0.06
 TRIAL_DEARER = 4.0                 # how much dearer a choice on trial may be than one elsewhere
-RUN_BEFORE_ON = 3_000_000
+RUN_BEFORE_ON = 3_250_000
 BASE_HALVES = 8_000_000            # the baseline's half-life
 VOTERS_SPARE = 2
 
 BEATS, TELL_BEATS = 10, 5          # ticks a beat, beats between two messages
 
+FAR_AFTER, FAR_BETTER = 0.5, 2.0
+SILENT_AFTER = 0.4                 # of the objective
+STRAIN, STRAIN_GAIN, STRAIN_CLIP = 0.7, 0.08, 1.5
+LIMIT_SPAN = LOADS_LAST = 1_000_000
+LIMIT_FALL, LIMIT_RISE = 0.1, 1.02
+EARNINGS_BEND = 0.25
+RETRY_SHARE, RETRY_STORE = 0.2, 10.0
 PACE_GAIN, FAIL_GAIN = 0.2, 0.25
 PACE_OF_FAILURE = 4.0
 ASIDE_FAILING = 0.5
@@ -56,6 +63,7 @@
         self.s, self.out = settings, []
         self.i = Instance(seed, now, len(settings.routes))
         self.i.typical = [0.0 for _ in settings.routes]
+        self.top = max(route.earnings for route in settings.routes)
         self.places = {route.name: place for place, route in enumerate(settings.routes)}
         self.beat = BEATS * settings.tick
         self.fade = 0.5 ** (self.beat / BASE_HALVES)
@@ -77,7 +85,11 @@
         took.append(now)
         while took[0] < now - self.s.cap_window + self.s.tick:
             took.popleft()
-        self._try_or_end(now, rq)
+        self.i.retries = min(self.i.retries + RETRY_SHARE, RETRY_STORE)
+        if self.i.open < self.i.limit * (rq.route.earnings / self.top) ** EARNINGS_BEND:
+            self._try_or_end(now, rq)
+        else:
+            self._give_up(now, rq)
         return self._results()
 
     def outcome(self, now: int, req: str, number: int, unit: int, status: str, lag: int, last: bool,
@@ -88,11 +100,18 @@
         done = rq.tries[number]
         done.out, done.may_have_run = False, status not in face.NEVER_RAN
         done.unit.open -= 1
+        self.i.open -= 1
         self._learn(now, rq, done, status, lag)
         if last or rq.state == ENDED:
             self._become(rq, ENDED)
         elif not any(one.out for one in rq.tries):
-            self._try_or_end(now, rq)
+            # Further tries are a bounded share of the reqs: in an overload they would feed it.
+            self.i.retries -= 1
+            if self.i.retries >= 0:
+                self._try_or_end(now, rq)
+            else:
+                self.i.retries = 0
+                self._give_up(now, rq)
         return self._results()
 
     def streaming(self, now: int, req: str, number: int) -> list[Result]:
@@ -112,7 +131,7 @@
             i.asking, i.ask_at = False, now + i.ask_pause + i.chance.below(i.ask_pause)
             return self._results()
         if how != face.CACHED:
-            i.asking, i.ask_pause = False, 0
+            i.asking, i.ask_at, i.ask_pause = False, 0, 0
         i.list_units(entries, how != face.CHANGES)
         self._open_case(max((unit.build for unit in i.ready), default=0))
         return self._results()
@@ -127,6 +146,14 @@
         for base in i.base + i.newer:
             if base.count > BASE_ENOUGH * 4:
                 base.fade(self.fade)
+        # Open tries are held to what is answered within the objective; what would be late is shed at once.
+        if i.strain > STRAIN:
+            i.limit = max(i.limit * (STRAIN / i.strain) ** LIMIT_FALL, 2.0)
+        else:
+            i.limit = i.limit * LIMIT_RISE + 0.05
+        i.usual_open += (i.open - i.usual_open) * self.beat / LIMIT_SPAN
+        i.limit = min(i.limit, 2 * i.usual_open + 10.0)
+        self._leave_silent(now)
         self._consider_vote(now)
         self._tell(now)
         return self._results()
@@ -138,6 +165,8 @@
         what, told = messages.unpack(payload, len(self.s.routes)) or (None, None)
         if what == messages.SUMS:
             self._hear(relay, told)
+        elif what == messages.LOADS:
+            self.i.loads[relay] = (now, told)
         elif what is not None and told in self.i.units:
             if what == messages.ASIDE:
                 self.i.asked.setdefault(told, {})[relay] = now
@@ -197,12 +226,13 @@
         rq.tries.append(made)
         self._become(rq, TRYING)
         unit.open += 1
+        self.i.open += 1
         unit.sends.append(now)
         if unit.unanswered is None:
             unit.unanswered = now
         if self._on_trial(unit.build):
             self._tries_at(unit.build, rq.place).append(now)
-        self.out.append((face.SEND, rq.id, unit.id, self._limit(now, rq)))
+        self.out.append((face.SEND, rq.id, unit.id, rq.due - now))
 
     def _give_up(self, now: int, rq: Req) -> None:
         ran = any(one.may_have_run for one in rq.tries)
@@ -323,8 +353,8 @@
             elif doubtful and rq.route.repeat != known.RETRIABLE:
                 pool = [unit for unit in pool if unit not in trial]
             elif not doubtful:
-                # What machines on trial get is their part, wherever they stand: more, from several relays at once,
-                # would queue there and pass for slowness; less would leave the build unjudged.
+                # Machines on trial get their part, wherever they stand: more, from several relays at once, would
+                # queue there and pass for slowness; less would leave the build unjudged.
                 one = self._two_choices(now, rq, trial)
                 two = self._two_choices(now, rq, [unit for unit in pool if unit not in trial])
                 due = self.i.chance.below(len(pool)) < len(trial)
@@ -338,9 +368,9 @@
         unit = self._better(now, near)
         if len(near) < len(pool):
             wait = self._cost(now, unit) * self.i.typical[rq.place]
-            if wait > rq.route.objective / 2:
+            if wait > FAR_AFTER * rq.route.objective:
                 far = self._better(now, [one for one in pool if one.zone != self.s.zone])
-                if self._cost(now, far) * 2 < self._cost(now, unit):
+                if self._cost(now, far) * FAR_BETTER < self._cost(now, unit):
                     return far
         return unit
 
@@ -350,15 +380,17 @@
         return one if self._cost(now, one) <= self._cost(now, two) else two
 
     def _cost(self, now: int, unit: Unit) -> float:
-        return unit.pace * (unit.open + 1) / self._ramp(now, unit)
-
-    def _limit(self, now: int, rq: Req) -> int:
-        left = rq.due - now
-        repeat, objective = rq.route.repeat, rq.route.objective
-        again = repeat == known.RETRIABLE or (repeat == known.DEDUPED and rq.route.memory > objective)
-        if len(rq.tries) < self.s.max_tries and again:
-            return min(left, max(objective * 3 // 5, int(4 * self.i.typical[rq.place])))
-        return left
+        told = sum(loads.get(unit.id, 0) for since, loads in self.i.loads.values() if now - since < LOADS_LAST)
+        return math.sqrt(unit.pace) * (unit.open + told + 1) / self._ramp(now, unit)
+
+    def _leave_silent(self, now: int) -> None:
+        """A silent unit's reqs are tried elsewhere while they can be in time; a long req alone is left to run."""
+        for rq in list(self.i.reqs.values()):
+            late = rq.tries[-1] if rq.tries else None
+            if (late and late.out and rq.route.repeat != known.NON_RETRIABLE and len(rq.tries) < self.s.max_tries
+                    and now - late.sent > SILENT_AFTER * rq.route.objective and self._aside(now, rq, late.unit)):
+                self._set_aside(now, late.unit)
+                self.out.append((face.CANCEL, rq.id, late.number))
 
     # what outcomes tell of units
 
@@ -377,6 +409,8 @@
         if status not in (face.TIMEOUT, face.UNREACHED):
             unit.unanswered = now if unit.open else None
         unit.failing += FAIL_GAIN * ((not good) - unit.failing)
+        if good or status == face.TIMEOUT:
+            i.strain += STRAIN_GAIN * (min(lag / rq.route.objective, STRAIN_CLIP) - i.strain)
         i.typical[rq.place] = i.typical[rq.place] or max(lag, 1)
         pace = lag / i.typical[rq.place]
         if not good and not self._on_trial(unit.build):
@@ -584,6 +618,9 @@
     def _tell(self, now: int) -> None:
         i, case = self.i, self.i.case
         i.told_at += 1
+        if self.s.may_tell and self.s.relays > 1 and i.told_at % self.s.relays == 0:
+            loads = [(unit.id, unit.open) for unit in i.ready if unit.open]
+            self.out.append((face.TELL, "all", messages.pack_loads(loads)))
         if case is None or not self.s.may_tell or i.told_at % TELL_BEATS:
             return
         i.told_number += 1
--- a/laurelcourse/state.py
+++ b/laurelcourse/state.py
@@ -122,6 +122,9 @@
         self.cap, self.cap_next, self.cap_binds = 0.0, 0.0, 0
         self.tried: dict[tuple[int, int], deque[int]] = {}
         self.took: list[deque[int]] = [deque() for _ in range(routes)]
+        self.open, self.usual_open, self.limit, self.strain = 0, 0.0, 20.0, 0.0
+        self.retries = 10.0
+        self.loads: dict[int, tuple[int, dict[int, int]]] = {}
         self.answered: deque[int] = deque()
         self.keys: dict[int, int] = {}
         self.case: Case | None = None
