--- a/laurelcourse/interface.py
+++ b/laurelcourse/interface.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Iterable
-from typing import NamedTuple, Protocol
+from typing import NamedTuple
 
 Result = tuple
 
@@ -47,33 +47,45 @@
     since: int
 
 
-class Decisions(Protocol):
-    """The calls; `laurelcourse.rules.Balancer(settings, seed, now)` answers them."""
+class Decisions:
+    """The calls. `laurelcourse.rules.Balancer(settings, seed, now)` answers them; what it leaves is unheeded."""
 
-    def start(self, now: int) -> list[Result]: ...
+    def start(self, now: int) -> list[Result]:
+        return []
 
     def new_req(self, now: int, req: str, route: str, tenant: str, key: int | None, left: int,
-                repeated: bool) -> list[Result]: ...
+                repeated: bool) -> list[Result]:
+        raise NotImplementedError
 
-    def outcome(self, now: int, req: str, number: int, unit: int, status: str, lag: int, last: bool,
-                load: dict[str, float]) -> list[Result]: ...
+    def streaming(self, now: int, req: str, number: int) -> list[Result]:
+        return []
 
-    def streaming(self, now: int, req: str, number: int) -> list[Result]: ...
+    def outcome(self, now: int, req: str, number: int, unit: int, status: str, lag: int, last: bool,
+                load: dict[str, float]) -> list[Result]:
+        raise NotImplementedError
 
-    def withdrawn(self, now: int, req: str) -> list[Result]: ...
+    def withdrawn(self, now: int, req: str) -> list[Result]:
+        raise NotImplementedError
 
-    def directory(self, now: int, how: str, entries: Iterable[Listed]) -> list[Result]: ...
+    def directory(self, now: int, how: str, entries: Iterable[Listed]) -> list[Result]:
+        raise NotImplementedError
 
-    def timer(self, now: int, token: str) -> list[Result]: ...
+    def timer(self, now: int, token: str) -> list[Result]:
+        return []
 
-    def probed(self, now: int, unit: int, status: str, lag: int, load: dict[str, float]) -> list[Result]: ...
+    def probed(self, now: int, unit: int, status: str, lag: int, load: dict[str, float]) -> list[Result]:
+        return []
 
-    def peer(self, now: int, relay: int, payload: bytes) -> list[Result]: ...
+    def peer(self, now: int, relay: int, payload: bytes) -> list[Result]:
+        return []
 
     def stage(self, now: int, build: int, stage: int, standing: int, answers_vote: bool, status: str,
-              cap: float, since: int) -> list[Result]: ...
+              cap: float, since: int) -> list[Result]:
+        return []
 
     def tally(self, now: int, since: int, lag: int, build: int, route: str, failed: int,
-              counted: int) -> list[Result]: ...
+              counted: int) -> list[Result]:
+        return []
 
-    def complaint(self, now: int, unit: int, since: int, route: str) -> list[Result]: ...
+    def complaint(self, now: int, unit: int, since: int, route: str) -> list[Result]:
+        return []
--- a/laurelcourse/rules.py
+++ b/laurelcourse/rules.py
@@ -6,63 +6,50 @@
 
 Beside the design stand these mechanisms:
 1. guard: every send, shed and error passes one place that keeps the five rules.
-2. pace: a unit's expected wait, from its latencies and this relay's open tries, steers the two choices.
-3. set-aside: a failing, silent or unreachable unit rests, and returns by time or by a peer's good answer.
-4. leaving the silent: a req at a unit that answers nobody is tried elsewhere while it can be in time.
-5. home first: a unit of the own zone is taken unless it would make the req late.
-6. shedding: what can't be answered in time is given up at once.
+2. pace: latencies, and the open tries that relays tell each other, steer the two choices.
+3. set-aside: a failing, silent or unreachable unit rests, its reqs are tried elsewhere, and it returns by time
+   or by a peer's good answer.
+4. home first: a unit of the own zone is taken unless it would make the req late.
+5. shedding: open tries are held to what is answered in time; what is given up is answered at once.
+6. machine's fault: what one machine does against its fellows is not held against the build.
 """
 
 import math
-from collections import deque
 from collections.abc import Iterable
 
 from laurelcourse import interface as face
 from laurelcourse import messages
 from laurelcourse import settings as known
-from laurelcourse.interface import Listed, Result
-from laurelcourse.settings import Settings
-from laurelcourse.state import ENDED, TRYING, Case, Instance, News, Req, Sums, Try, Unit
-
-# the judge
-CHANGE = 0.0005                    # p: a build that was sound turns bad at the next outcome
-SUSPECT = 0.3                      # p0
-ODDS = 0.05                        # every Ai
-CALM = 0.2
+from laurelcourse.interface import Result
+from laurelcourse.state import ENDED, TRYING, Case, Instance, News, Req, Sums, Try, Unit, Window
+
+# the judge: p, p0, every Ai; kinds and their priors; densities
+CHANGE, SUSPECT, ODDS, CALM = 0.0005, 0.3, 0.05, 0.2
 FAILING, SLOW, WRONG = "failing", "slow", "wrong"
 PRIORS = {FAILING: 0.5, SLOW: 0.25, WRONG: 0.25}
 FAIL_FLOOR, FALSE_COMPLAINTS = 0.01, 0.005
 FAIL_ALL, FAIL_ROUTE, WRONG_SHARE = 0.15, 0.5, 0.1
-SLOWER = (math.log(2.5),)
-SPREAD_FLOOR, SPREAD_CLIP = 0.5, 2.5
-BASE_ENOUGH, ENOUGH = 8, 12
-UNLIKE_NOISE, UNLIKE_FLOOR = 0.05, 0.06
+SLOWER, SPREAD_FLOOR, SPREAD_CLIP = math.log(2.5), 0.5, 2.5
+BASE_ENOUGH, ENOUGH, BASE_HALVES = 8, 12, 8_000_000
+UNLIKE_NOISE, UNLIKE_FLOOR, SURE, SAME_AGE = 0.05, 0.06, 0.1, 1_000_000
 TRIAL_DEARER = 4.0                 # how much dearer a choice on trial may be than one elsewhere
-RUN_BEFORE_ON = 3_250_000
-BASE_HALVES = 8_000_000            # the baseline's half-life
-VOTERS_SPARE = 2
-
+RUN_BEFORE_ON, VOTERS_SPARE = 3_250_000, 2
 BEATS, TELL_BEATS = 10, 5          # ticks a beat, beats between two messages
-
-FAR_AFTER, FAR_BETTER = 0.5, 2.0
-SILENT_AFTER = 0.4                 # of the objective
+# routing, health and shedding; shares are of the latency objective
+FAR_AFTER, FAR_BETTER, SILENT_AFTER = 0.5, 2.0, 0.4
 STRAIN, STRAIN_GAIN, STRAIN_CLIP = 0.7, 0.08, 1.5
 LIMIT_SPAN = LOADS_LAST = 1_000_000
-LIMIT_FALL, LIMIT_RISE = 0.1, 1.02
-EARNINGS_BEND = 0.25
+LIMIT_FALL, LIMIT_RISE, EARNINGS_BEND = 0.1, 1.02, 0.25
 RETRY_SHARE, RETRY_STORE = 0.2, 10.0
-PACE_GAIN, FAIL_GAIN = 0.2, 0.25
-PACE_OF_FAILURE = 4.0
-ASIDE_FAILING = 0.5
-COLD_SAFETY, ANSWERED_OVER = 0.5, 4
-COME_BACK_SHARE = 0.5
+PACE_GAIN, FAIL_GAIN, PACE_OF_FAILURE = 0.2, 0.25, 4.0
+ASIDE_FAILING, RESTED_FAILING, SEEN_FADE = 0.3, 0.2, 0.97
+COLD_SAFETY, ANSWERED_OVER, COME_BACK_SHARE = 0.5, 4, 0.5
 
 
-class Balancer:
-    def __init__(self, settings: Settings, seed: int, now: int) -> None:
+class Balancer(face.Decisions):
+    def __init__(self, settings: known.Settings, seed: int, now: int) -> None:
         self.s, self.out = settings, []
         self.i = Instance(seed, now, len(settings.routes))
-        self.i.typical = [0.0 for _ in settings.routes]
         self.top = max(route.earnings for route in settings.routes)
         self.places = {route.name: place for place, route in enumerate(settings.routes)}
         self.beat = BEATS * settings.tick
@@ -81,10 +68,7 @@
                 repeated: bool) -> list[Result]:
         place = self.places[route]
         rq = self.i.reqs[req] = Req(req, self.s.routes[place], place, key, now, now + left)
-        took = self.i.took[self._scope(place)]
-        took.append(now)
-        while took[0] < now - self.s.cap_window + self.s.tick:
-            took.popleft()
+        self.i.took[self._scope(place)].add(now)
         self.i.retries = min(self.i.retries + RETRY_SHARE, RETRY_STORE)
         if self.i.open < self.i.limit * (rq.route.earnings / self.top) ** EARNINGS_BEND:
             self._try_or_end(now, rq)
@@ -106,24 +90,20 @@
             self._become(rq, ENDED)
         elif not any(one.out for one in rq.tries):
             # Further tries are a bounded share of the reqs: in an overload they would feed it.
-            self.i.retries -= 1
-            if self.i.retries >= 0:
+            if self.i.retries >= 1:
+                self.i.retries -= 1
                 self._try_or_end(now, rq)
             else:
-                self.i.retries = 0
                 self._give_up(now, rq)
         return self._results()
 
-    def streaming(self, now: int, req: str, number: int) -> list[Result]:
-        return self._results()
-
     def withdrawn(self, now: int, req: str) -> list[Result]:
         rq = self.i.reqs.get(req)
         if rq is not None:
             self._become(rq, ENDED)
         return self._results()
 
-    def directory(self, now: int, how: str, entries: Iterable[Listed]) -> list[Result]:
+    def directory(self, now: int, how: str, entries: Iterable[face.Listed]) -> list[Result]:
         i = self.i
         if how == face.BROKEN:
             # A failed call or a lost watch is renewed ever more slowly, not to storm a struggling directory.
@@ -143,9 +123,8 @@
             self._ask(now)
         if i.case:
             i.case.timed *= self.fade
-        for base in i.base + i.newer:
-            if base.count > BASE_ENOUGH * 4:
-                base.fade(self.fade)
+        for sums in i.base + i.newer:
+            sums.fade(self.fade if sums.count > 4 * BASE_ENOUGH else 1.0)
         # Open tries are held to what is answered within the objective; what would be late is shed at once.
         if i.strain > STRAIN:
             i.limit = max(i.limit * (STRAIN / i.strain) ** LIMIT_FALL, 2.0)
@@ -158,9 +137,6 @@
         self._tell(now)
         return self._results()
 
-    def probed(self, now: int, unit: int, status: str, lag: int, load: dict[str, float]) -> list[Result]:
-        return self._results()
-
     def peer(self, now: int, relay: int, payload: bytes) -> list[Result]:
         what, told = messages.unpack(payload, len(self.s.routes)) or (None, None)
         if what == messages.SUMS:
@@ -189,15 +165,14 @@
         if status == face.COUNTED:
             self._cap_told(now, build, standing, cap)
             if i.case and i.news and i.news.build == build == i.case.build and stage > i.news.stage:
-                self._move_on(i.case)
+                # A stage that went on in spite of one slow machine: the next is judged without its word.
+                i.case.weights = self._start() if self._posteriors()[SLOW] >= CALM else i.case.weights
+                i.case.timed = 0.0
             i.news = News(build, stage, standing, cap, now - since)
             self._open_case(build)
         return self._results()
 
-    def tally(self, now: int, since: int, lag: int, build: int, route: str, failed: int,
-              counted: int) -> list[Result]:
-        # Tallies sample the outcomes that the relays' own sums hold already: counting both would count twice.
-        return self._results()
+    # `tally` is left unheeded: it samples outcomes that the relays' sums hold, and would count them twice.
 
     def complaint(self, now: int, unit: int, since: int, route: str) -> list[Result]:
         case, told = self.i.case, self.i.units.get(unit)
@@ -222,16 +197,14 @@
         if unit is None:
             self._give_up(now, rq)
             return
-        made = Try(len(rq.tries), unit, now, self._fresh(now, unit))
-        rq.tries.append(made)
+        rq.tries.append(Try(len(rq.tries), unit, now, now - unit.since < self.s.warm_after // 2))
         self._become(rq, TRYING)
         unit.open += 1
         self.i.open += 1
-        unit.sends.append(now)
-        if unit.unanswered is None:
-            unit.unanswered = now
+        unit.sends.add(now)
+        unit.unanswered = now if unit.unanswered is None else unit.unanswered
         if self._on_trial(unit.build):
-            self._tries_at(unit.build, rq.place).append(now)
+            self._tries_at(unit.build, rq.place).add(now)
         self.out.append((face.SEND, rq.id, unit.id, rq.due - now))
 
     def _give_up(self, now: int, rq: Req) -> None:
@@ -267,21 +240,16 @@
         age = (now - unit.since) / self.s.warm_after
         return min(1.0, self.s.cold_share + (1 - self.s.cold_share) * max(age, 0.0))
 
-    def _fresh(self, now: int, unit: Unit) -> bool:
-        return now - unit.since < self.s.warm_after // 2
-
     def _cold_room(self, now: int, unit: Unit) -> bool:
         """Rule 4: this relay's share of a cold unit's budget, safe if every other relay does the same."""
         ramp = self._ramp(now, unit)
-        while unit.sends and unit.sends[0] <= now - self.s.tip_after - self.s.tick:
-            unit.sends.popleft()
+        sent = unit.sends.since(now - self.s.tip_after - self.s.tick)
         if ramp >= 1.0:
             return True
         # Answers, not reqs, tell what a warm unit can do: in an overload far more is asked for.
-        while self.i.answered and self.i.answered[0] <= now - ANSWERED_OVER * self.s.tip_after:
-            self.i.answered.popleft()
-        usual = len(self.i.answered) / ANSWERED_OVER / max(len(self.i.ready), 1)
-        return len(unit.sends) + 1 <= max(1.0, COLD_SAFETY * self.s.overload_factor * ramp * usual)
+        usual = self.i.answered.since(now - ANSWERED_OVER * self.s.tip_after) / ANSWERED_OVER
+        part = COLD_SAFETY * self.s.overload_factor * ramp * usual / max(len(self.i.ready), 1)
+        return sent + 1 <= max(1.0, part)
 
     def _scope(self, place: int) -> int:
         return place if self.s.cap_by_route else 0
@@ -292,14 +260,13 @@
             return bool(self.i.ready) and build > min(unit.build for unit in self.i.ready)
         return build > news.build or (build == news.build and news.standing != face.RELEASED)
 
-    def _tries_at(self, build: int, place: int) -> deque[int]:
-        return self.i.tried.setdefault((build, self._scope(place)), deque())
+    def _tries_at(self, build: int, place: int) -> Window:
+        return self.i.tried.setdefault((build, self._scope(place)), Window())
 
     def _cap_told(self, now: int, build: int, standing: int, cap: float) -> None:
         i = self.i
         if i.news is None or i.news.build != build:
-            known = i.tried and any(told == build for told, _ in i.tried)
-            before = self.s.stage_caps[0] if known else cap
+            before = self.s.stage_caps[0] if any(tried == build for tried, _ in i.tried) else cap
         else:
             before = 1.0 if i.news.standing == face.RELEASED else self._cap(now)
         i.cap, i.cap_next, i.cap_binds = max(before, cap), cap, now + self.s.drain_grace
@@ -325,12 +292,9 @@
             return False
         if named and news.standing != face.ON_TRIAL and news.cap == 0:
             return False
-        times, took = self._tries_at(unit.build, rq.place), i.took[self._scope(rq.place)]
-        while times and times[0] < now - s.cap_window - s.tick:
-            times.popleft()
-        while took and took[0] < now - s.cap_window + s.tick:
-            took.popleft()
-        return len(times) + 1 <= s.cap_free + cap * len(took)
+        tried = self._tries_at(unit.build, rq.place).since(now - s.cap_window - s.tick)
+        took = i.took[self._scope(rq.place)].since(now - s.cap_window + s.tick)
+        return tried + 1 <= s.cap_free + cap * took
 
     # choosing a unit
 
@@ -353,8 +317,8 @@
             elif doubtful and rq.route.repeat != known.RETRIABLE:
                 pool = [unit for unit in pool if unit not in trial]
             elif not doubtful:
-                # Machines on trial get their part, wherever they stand: more, from several relays at once, would
-                # queue there and pass for slowness; less would leave the build unjudged.
+                # Machines on trial get their part, wherever they stand: more, from several relays at once,
+                # would queue there and pass for slowness; less would leave the build unjudged.
                 one = self._two_choices(now, rq, trial)
                 two = self._two_choices(now, rq, [unit for unit in pool if unit not in trial])
                 due = self.i.chance.below(len(pool)) < len(trial)
@@ -380,15 +344,15 @@
         return one if self._cost(now, one) <= self._cost(now, two) else two
 
     def _cost(self, now: int, unit: Unit) -> float:
-        told = sum(loads.get(unit.id, 0) for since, loads in self.i.loads.values() if now - since < LOADS_LAST)
+        told = sum(loads.get(unit.id, 0) for at, loads in self.i.loads.values() if now - at < LOADS_LAST)
         return math.sqrt(unit.pace) * (unit.open + told + 1) / self._ramp(now, unit)
 
     def _leave_silent(self, now: int) -> None:
-        """A silent unit's reqs are tried elsewhere while they can be in time; a long req alone is left to run."""
-        for rq in list(self.i.reqs.values()):
-            late = rq.tries[-1] if rq.tries else None
-            if (late and late.out and rq.route.repeat != known.NON_RETRIABLE and len(rq.tries) < self.s.max_tries
-                    and now - late.sent > SILENT_AFTER * rq.route.objective and self._aside(now, rq, late.unit)):
+        """A silent unit's reqs are tried elsewhere while they can be in time; a long req alone runs on."""
+        for rq in [rq for rq in self.i.reqs.values() if rq.route.repeat != known.NON_RETRIABLE and rq.tries]:
+            late = rq.tries[-1]
+            if (late.out and late.number + 1 < self.s.max_tries and self._aside(now, rq, late.unit)
+                    and now - late.sent > SILENT_AFTER * rq.route.objective):
                 self._set_aside(now, late.unit)
                 self.out.append((face.CANCEL, rq.id, late.number))
 
@@ -402,13 +366,14 @@
             rq.route.objective / 3, 3 * self.i.typical[rq.place])
 
     def _learn(self, now: int, rq: Req, done: Try, status: str, lag: int) -> None:
-        i, unit = self.i, done.unit
+        i, unit, good = self.i, done.unit, status == face.OK
+        if status not in (face.TIMEOUT, face.UNREACHED, face.CANCELLED) or not unit.open:
+            unit.unanswered = now if unit.open else None
         if done.build != unit.build or status in (face.CANCELLED, face.UNSENT):
             return
-        good = status == face.OK
-        if status not in (face.TIMEOUT, face.UNREACHED):
-            unit.unanswered = now if unit.open else None
         unit.failing += FAIL_GAIN * ((not good) - unit.failing)
+        unit.clean = unit.clean + 1 if good else 0
+        unit.seen, unit.failed = unit.seen * SEEN_FADE + 1, unit.failed * SEEN_FADE + (not good)
         if good or status == face.TIMEOUT:
             i.strain += STRAIN_GAIN * (min(lag / rq.route.objective, STRAIN_CLIP) - i.strain)
         i.typical[rq.place] = i.typical[rq.place] or max(lag, 1)
@@ -418,9 +383,9 @@
         unit.pace += PACE_GAIN * (pace - unit.pace)
         if good:
             i.typical[rq.place] += PACE_GAIN / 4 * (lag - i.typical[rq.place])
-            unit.aside_for = 0
-            i.answered.append(now)
-            for relay, since in i.asked.pop(unit.id, {}).items():
+            unit.aside_for = unit.aside_for * 3 // 4
+            i.answered.add(now)
+            for relay, since in i.asked.pop(unit.id, {}).items() if unit.failing < RESTED_FAILING / 2 else ():
                 if now - since < 10 * self.s.tip_after:
                     self.out.append((face.TELL, relay, messages.pack_unit(messages.GOOD, unit.id)))
             if self.s.keys_stay and rq.key is not None and self._on_trial(done.build):
@@ -432,13 +397,11 @@
         self._count(now, rq, done, status, lag)
 
     def _set_aside(self, now: int, unit: Unit) -> None:
-        if unit.aside_until > now:
-            return
-        resting = sum(1 for one in self.i.ready if one.aside_until > now)
-        if 3 * (resting + 1) > len(self.i.ready):
+        resting = sum(one.aside_until > now for one in self.i.ready)
+        if unit.aside_until > now or 3 * (resting + 1) > len(self.i.ready):
             return
         unit.aside_for = min(max(2 * unit.aside_for, self.s.tip_after), 8 * self.s.tip_after)
-        unit.aside_until, unit.failing = now + unit.aside_for, 0.0
+        unit.aside_until, unit.failing = now + unit.aside_for, RESTED_FAILING
         if self.s.may_tell and self.s.relays > 1:
             self.out.append((face.TELL, "all", messages.pack_unit(messages.ASIDE, unit.id)))
 
@@ -448,7 +411,7 @@
         """Each kind's members: where it shows (None: everywhere), how strongly, its part of the prior."""
         routes = range(len(self.s.routes))
         failing = [(FAILING, None, FAIL_ALL)] + [(FAILING, place, FAIL_ROUTE) for place in routes]
-        slow = [(SLOW, None, shift) for shift in SLOWER]
+        slow = [(SLOW, None, SLOWER)]
         wrong = [(WRONG, None, WRONG_SHARE * self.s.complaint_share)] if self.s.complaint_share else []
         total = sum(PRIORS[kind[0][0]] for kind in (failing, slow, wrong) if kind)
         return [(*one, PRIORS[one[0]] / total / len(kind)) for kind in (failing, slow, wrong) for one in kind]
@@ -466,12 +429,6 @@
         places = sum(1 for unit in i.ready if unit.build < build)
         i.case = Case(build, places, len(self.s.routes), self._start())
 
-    def _move_on(self, case: Case) -> None:
-        """A stage that went on in spite of one slow machine: the next is judged without its word."""
-        if self._posteriors()[SLOW] >= CALM:
-            case.weights = self._start()
-        case.timed = 0.0
-
     def _count(self, now: int, rq: Req, done: Try, status: str, lag: int) -> None:
         """An outcome as evidence. A time-out tells of latency: its limit is ours, not the build's failure."""
         i, case = self.i, self.i.case
@@ -483,10 +440,20 @@
         if done.build < case.build:
             for sums in (case.earlier[rq.place], i.base[rq.place]):
                 sums.add(1, failed, timed, logs, logs * logs)
-            return
-        for sums in (case.own[rq.place], i.newer[rq.place]):
-            sums.add(1, failed, timed, logs, logs * logs)
-        self._weigh(case, rq.place, 1, failed, timed, logs, 0)
+        elif not (failed and self._machine_to_blame(done.unit)):
+            for sums in (case.own[rq.place], i.newer[rq.place]):
+                sums.add(1, failed, timed, logs, logs * logs)
+            self._weigh(case, rq.place, 1, failed, timed, logs, 0)
+
+    def _machine_to_blame(self, unit: Unit) -> bool:
+        """A machine's own errors would pass for the build's. They are the machine's where at least half of its
+        fellows as old as it are surely sound; where it has no fellow, while machines of the earlier build fail."""
+        fellows = [one for one in self._machines(unit.build)
+                   if one is not unit and one.since <= unit.since + SAME_AGE]
+        share = unit.failed / (unit.seen + 1)
+        sound = sum((1 - share) ** one.clean < SURE for one in fellows)
+        return 2 * sound >= len(fellows) if fellows else any(
+            one.failing >= RESTED_FAILING for one in self.i.ready if one.build < unit.build)
 
     def _usual(self, place: int) -> tuple[float, float]:
         """Mean and spread of log latency at the earlier build; zeros while too little is known."""
@@ -555,9 +522,6 @@
             kinds[kind] = kinds.get(kind, 0.0) + math.exp(weight)
         return kinds
 
-    def _worst(self) -> float:
-        return max(self._posteriors().values()) if self.i.case else 0.0
-
     # votes
 
     def _voters(self, build: int) -> list[int]:
@@ -566,25 +530,21 @@
         return sorted(range(self.s.relays), key=rank)[:self.s.votes_back + VOTERS_SPARE]
 
     def _consider_vote(self, now: int) -> None:
-        i, s, vote = self.i, self.s, self.i.vote
-        news = i.news
-        if news is None or i.case is None or i.case.build != news.build:
-            return
-        if s.control == known.ANY and s.me not in self._voters(news.build):
+        i, s, vote, news = self.i, self.s, self.i.vote, self.i.news
+        if news is None or i.case is None or i.case.build != news.build or (
+                s.control == known.ANY and s.me not in self._voters(news.build)):
             return
         verdict = self._verdict(now, news)
         if (vote.answer_due and now < vote.answer_due) or now < vote.not_before:
             return
         wanted = (news.build, news.stage if verdict in (face.VOTE_ON, face.VOTE_HOLD) else 0, verdict)
-        if vote.said == wanted and now < vote.cast + s.vote_life // 2:
-            return
-        if verdict == face.NO_VOTE and (vote.said is None or vote.said[2] == face.NO_VOTE):
+        if (vote.said == wanted and now < vote.cast + s.vote_life // 2) or (
+                verdict == face.NO_VOTE and (vote.said is None or vote.said[2] == face.NO_VOTE)):
             return
         vote.said, vote.cast, vote.answer_due = wanted, now, now + s.vote_timeout + self.beat
-        self.out.append((face.VOTE, news.build, news.stage, verdict))
-        found = " ".join(f"{kind} {part:.2f}" for kind, part in self._posteriors().items())
-        self.out.append((face.NOTE, f"vote {verdict} on build {news.build} stage {news.stage}, "
-                         f"{i.case.counted} counted: {found}"))
+        found = ", ".join(f"{kind} {part:.2f}" for kind, part in self._posteriors().items())
+        note = f"vote {verdict} on build {news.build} stage {news.stage}: {i.case.counted} counted, {found}"
+        self.out += [(face.VOTE, news.build, news.stage, verdict), (face.NOTE, note)]
 
     def _verdict(self, now: int, news: News) -> int:
         machines = [unit.since for unit in self._machines(news.build)]
--- a/laurelcourse/state.py
+++ b/laurelcourse/state.py
@@ -11,6 +11,21 @@
 NEW, TRYING, ENDED = "new", "trying", "ended"
 
 
+class Window:
+    """Times of what happened lately."""
+
+    __slots__ = ("add", "clear", "times")
+
+    def __init__(self) -> None:
+        self.times: deque[int] = deque()
+        self.add, self.clear = self.times.append, self.times.clear
+
+    def since(self, start: int) -> int:
+        while self.times and self.times[0] < start:
+            self.times.popleft()
+        return len(self.times)
+
+
 class Try:
     __slots__ = ("build", "fresh", "may_have_run", "number", "out", "sent", "unit")
 
@@ -30,8 +45,8 @@
 class Unit:
     """A unit as the directory lists it, and what this relay saw of it since it started."""
 
-    __slots__ = ("aside_for", "aside_until", "build", "cell", "failing", "health", "id", "open", "pace",
-                 "sends", "since", "size", "unanswered", "zone")
+    __slots__ = ("aside_for", "aside_until", "build", "cell", "clean", "failed", "failing", "health", "id",
+                 "open", "pace", "seen", "sends", "since", "size", "unanswered", "zone")
 
     def __init__(self, entry: Listed) -> None:
         self.id, self.open = entry.unit, 0
@@ -41,8 +56,9 @@
     def list(self, entry: Listed) -> None:
         if (entry.since, entry.build) != (self.since, self.build):
             self.pace, self.failing, self.unanswered = 1.0, 0.0, None
-            self.aside_until = self.aside_for = 0
-            self.sends: deque[int] = deque()
+            self.aside_until = self.aside_for = self.clean = 0
+            self.seen = self.failed = 0.0
+            self.sends = Window()
         self.zone, self.cell, self.build, self.health = entry.zone, entry.cell, entry.build, entry.health
         self.size, self.since = entry.size, entry.since
 
@@ -120,17 +136,17 @@
         self.reqs: dict[str, Req] = {}
         self.news: News | None = None
         self.cap, self.cap_next, self.cap_binds = 0.0, 0.0, 0
-        self.tried: dict[tuple[int, int], deque[int]] = {}
-        self.took: list[deque[int]] = [deque() for _ in range(routes)]
+        self.tried: dict[tuple[int, int], Window] = {}
+        self.took = [Window() for _ in range(routes)]
         self.open, self.usual_open, self.limit, self.strain = 0, 0.0, 20.0, 0.0
         self.retries = 10.0
         self.loads: dict[int, tuple[int, dict[int, int]]] = {}
-        self.answered: deque[int] = deque()
+        self.answered = Window()
         self.keys: dict[int, int] = {}
         self.case: Case | None = None
         self.base = [Sums() for _ in range(routes)]
         self.newer = [Sums() for _ in range(routes)]
-        self.typical: list[float] = []
+        self.typical = [0.0] * routes
         self.vote = Vote()
         self.asking, self.ask_at, self.ask_pause = False, 0, 0
         self.told_at = self.told_number = 0
