Judge machines by what all relays tell of them; hold strain at half the objective

Cause: each relay alone sees too little of a machine to tell it from the build; overloads were answered late.

--- a/laurelcourse/interface.py
+++ b/laurelcourse/interface.py
@@ -48,7 +48,7 @@
 
 
 class Decisions:
-    """The calls. `laurelcourse.rules.Balancer(settings, seed, now)` answers them; what it leaves is unheeded."""
+    """The calls. `laurelcourse.rules.Balancer(settings, seed, now)` answers them; the rest go unheeded."""
 
     def start(self, now: int) -> list[Result]:
         return []
--- a/laurelcourse/messages.py
+++ b/laurelcourse/messages.py
@@ -4,13 +4,12 @@
 import struct
 from typing import NamedTuple
 
-VERSION, SUMS, ASIDE, GOOD, LOADS = 1, 1, 2, 3, 4
+VERSION, SUMS, LOADS = 1, 1, 2
 HEAD = struct.Struct("<BBBIIHH")
 ROW = struct.Struct("<IIIfIIIff")
 ROWS = 6
-LOAD = struct.Struct("<IB")
-MOST_LOADS = 50
-ABOUT_UNIT = struct.Struct("<BBI")
+LOAD = struct.Struct("<IBBBB")
+MOST_LOADS = 31
 
 
 class Told(NamedTuple):
@@ -26,12 +25,10 @@
     rows: list[tuple]
 
 
-def pack_unit(what: int, unit: int) -> bytes:
-    return ABOUT_UNIT.pack(VERSION, what, unit)
-
-
-def pack_loads(loads: list[tuple[int, int]]) -> bytes:
-    packed = [LOAD.pack(unit, min(count, 255)) for unit, count in loads[:MOST_LOADS]]
+def pack_loads(loads: list[tuple]) -> bytes:
+    """Of each unit: its open tries, how many lately ended and failed, and how many ended well on end."""
+    packed = [LOAD.pack(unit, *(min(round(one), 255) for one in counts))
+              for unit, *counts in loads[:MOST_LOADS]]
     return bytes((VERSION, LOADS)) + b"".join(packed)
 
 
@@ -44,14 +41,12 @@
     return found
 
 
-def unpack(payload: bytes, routes: int) -> tuple[int, Told | dict[int, int] | int] | None:
+def unpack(payload: bytes, routes: int) -> tuple[int, Told | dict[int, list[int]]] | None:
     if len(payload) < 2 or payload[0] != VERSION:
         return None
     what = payload[1]
-    if what in (ASIDE, GOOD) and len(payload) == ABOUT_UNIT.size:
-        return what, ABOUT_UNIT.unpack(payload)[2]
     if what == LOADS and (len(payload) - 2) % LOAD.size == 0:
-        return what, dict(LOAD.iter_unpack(payload[2:]))
+        return what, {unit: counts for unit, *counts in LOAD.iter_unpack(payload[2:])}
     if what != SUMS or len(payload) < HEAD.size or (len(payload) - HEAD.size) % ROW.size:
         return None
     _, _, first, epoch, number, build, complained = HEAD.unpack_from(payload)
--- a/laurelcourse/rules.py
+++ b/laurelcourse/rules.py
@@ -7,8 +7,8 @@
 Beside the design stand these mechanisms:
 1. guard: every send, shed and error passes one place that keeps the five rules.
 2. pace: latencies, and the open tries that relays tell each other, steer the two choices.
-3. set-aside: a failing, silent or unreachable unit rests, its reqs are tried elsewhere, and it returns by time
-   or by a peer's good answer.
+3. set-aside: a failing, silent or unreachable unit rests; its reqs are tried elsewhere; time or a peer's good
+   answers bring it back.
 4. home first: a unit of the own zone is taken unless it would make the req late.
 5. shedding: open tries are held to what is answered in time; what is given up is answered at once.
 6. machine's fault: what one machine does against its fellows is not held against the build.
@@ -21,7 +21,7 @@
 from laurelcourse import messages
 from laurelcourse import settings as known
 from laurelcourse.interface import Result
-from laurelcourse.state import ENDED, TRYING, Case, Instance, News, Req, Sums, Try, Unit, Window
+from laurelcourse.state import ENDED, TRYING, Cap, Case, Instance, News, Req, Sums, Try, Unit, Window
 
 # the judge: p, p0, every Ai; kinds and their priors; densities
 CHANGE, SUSPECT, ODDS, CALM = 0.0005, 0.3, 0.05, 0.2
@@ -31,18 +31,18 @@
 FAIL_ALL, FAIL_ROUTE, WRONG_SHARE = 0.15, 0.5, 0.1
 SLOWER, SPREAD_FLOOR, SPREAD_CLIP = math.log(2.5), 0.5, 2.5
 BASE_ENOUGH, ENOUGH, BASE_HALVES = 8, 12, 8_000_000
-UNLIKE_NOISE, UNLIKE_FLOOR, SURE, SAME_AGE = 0.05, 0.06, 0.1, 1_000_000
+UNLIKE_NOISE, UNLIKE_FLOOR, SURE, SOUND_FELLOWS, SAME_AGE = 0.05, 0.06, 0.1, 0.3, 1_000_000
 TRIAL_DEARER = 4.0                 # how much dearer a choice on trial may be than one elsewhere
 RUN_BEFORE_ON, VOTERS_SPARE = 3_250_000, 2
 BEATS, TELL_BEATS = 10, 5          # ticks a beat, beats between two messages
 # routing, health and shedding; shares are of the latency objective
 FAR_AFTER, FAR_BETTER, SILENT_AFTER = 0.5, 2.0, 0.4
-STRAIN, STRAIN_GAIN, STRAIN_CLIP = 0.7, 0.08, 1.5
+STRAIN, STRAIN_GAIN, STRAIN_CLIP = 0.5, 0.08, 1.5
 LIMIT_SPAN = LOADS_LAST = 1_000_000
 LIMIT_FALL, LIMIT_RISE, EARNINGS_BEND = 0.1, 1.02, 0.25
 RETRY_SHARE, RETRY_STORE = 0.2, 10.0
 PACE_GAIN, FAIL_GAIN, PACE_OF_FAILURE = 0.2, 0.25, 4.0
-ASIDE_FAILING, RESTED_FAILING, SEEN_FADE = 0.3, 0.2, 0.97
+ASIDE_FAILING, RESTED_FAILING, SEEN_FADE, GOOD_ON_END, FAILS_TOO, CLEAN_WRAP = 0.3, 0.2, 0.97, 3, 2, 250
 COLD_SAFETY, ANSWERED_OVER, COME_BACK_SHARE = 0.5, 4, 0.5
 
 
@@ -52,6 +52,7 @@
         self.i = Instance(seed, now, len(settings.routes))
         self.top = max(route.earnings for route in settings.routes)
         self.places = {route.name: place for place, route in enumerate(settings.routes)}
+        self.scopes = [place if settings.cap_by_route else 0 for place in range(len(settings.routes))]
         self.beat = BEATS * settings.tick
         self.fade = 0.5 ** (self.beat / BASE_HALVES)
         self.members = self._members()
@@ -60,15 +61,15 @@
 
     def start(self, now: int) -> list[Result]:
         self.out.append((face.WAKE, self.beat, "beat"))
-        if self.s.must_ask:
-            self._ask(now)
+        self.i.ask_at = now if self.s.must_ask else 0
+        self._ask(now)
         return self._results()
 
     def new_req(self, now: int, req: str, route: str, tenant: str, key: int | None, left: int,
                 repeated: bool) -> list[Result]:
         place = self.places[route]
         rq = self.i.reqs[req] = Req(req, self.s.routes[place], place, key, now, now + left)
-        self.i.took[self._scope(place)].add(now)
+        self.i.took[self.scopes[place]].add(now)
         self.i.retries = min(self.i.retries + RETRY_SHARE, RETRY_STORE)
         if self.i.open < self.i.limit * (rq.route.earnings / self.top) ** EARNINGS_BEND:
             self._try_or_end(now, rq)
@@ -88,19 +89,17 @@
         self._learn(now, rq, done, status, lag)
         if last or rq.state == ENDED:
             self._become(rq, ENDED)
-        elif not any(one.out for one in rq.tries):
+        elif not rq.out() and self.i.retries >= 1:
             # Further tries are a bounded share of the reqs: in an overload they would feed it.
-            if self.i.retries >= 1:
-                self.i.retries -= 1
-                self._try_or_end(now, rq)
-            else:
-                self._give_up(now, rq)
+            self.i.retries -= 1
+            self._try_or_end(now, rq)
+        elif not rq.out():
+            self._give_up(now, rq)
         return self._results()
 
     def withdrawn(self, now: int, req: str) -> list[Result]:
-        rq = self.i.reqs.get(req)
-        if rq is not None:
-            self._become(rq, ENDED)
+        if req in self.i.reqs:
+            self._become(self.i.reqs[req], ENDED)
         return self._results()
 
     def directory(self, now: int, how: str, entries: Iterable[face.Listed]) -> list[Result]:
@@ -108,10 +107,10 @@
         if how == face.BROKEN:
             # A failed call or a lost watch is renewed ever more slowly, not to storm a struggling directory.
             i.ask_pause = min(max(2 * i.ask_pause, self.beat), self.s.ask_within // 8)
-            i.asking, i.ask_at = False, now + i.ask_pause + i.chance.below(i.ask_pause)
+            i.ask_at = now + i.ask_pause + i.chance.below(i.ask_pause)
             return self._results()
         if how != face.CACHED:
-            i.asking, i.ask_at, i.ask_pause = False, 0, 0
+            i.ask_at = i.ask_pause = 0
         i.list_units(entries, how != face.CHANGES)
         self._open_case(max((unit.build for unit in i.ready), default=0))
         return self._results()
@@ -119,8 +118,7 @@
     def timer(self, now: int, token: str) -> list[Result]:
         self.out.append((face.WAKE, self.beat, "beat"))
         i = self.i
-        if self.s.must_ask and i.ask_at and not i.asking and now >= i.ask_at:
-            self._ask(now)
+        self._ask(now)
         if i.case:
             i.case.timed *= self.fade
         for sums in i.base + i.newer:
@@ -142,28 +140,33 @@
         if what == messages.SUMS:
             self._hear(relay, told)
         elif what == messages.LOADS:
+            before = self.i.loads.get(relay, (0, {}))[1]
             self.i.loads[relay] = (now, told)
-        elif what is not None and told in self.i.units:
-            if what == messages.ASIDE:
-                self.i.asked.setdefault(told, {})[relay] = now
-            else:
-                self.i.units[told].aside_until, self.i.units[told].unanswered = now, None
+            # A unit set aside comes back when another relay tells of good answers from it, several on end.
+            for unit in [unit for unit in self.i.ready if unit.id in told and unit.id in before]:
+                if told[unit.id][3] >= GOOD_ON_END and told[unit.id][3] != before[unit.id][3]:
+                    unit.aside_until = min(unit.aside_until, now)
         return self._results()
 
     def stage(self, now: int, build: int, stage: int, standing: int, answers_vote: bool, status: str,
               cap: float, since: int) -> list[Result]:
         i, vote = self.i, self.i.vote
         if answers_vote:
-            vote.answer_due = 0
+            vote.not_before = now
+            vote.pause = min(max(2 * vote.pause, self.beat), self.s.vote_life // 4)
             if status == face.COUNTED:
                 vote.pause = 0
             else:
-                vote.said, vote.pause = None, min(max(2 * vote.pause, self.beat), self.s.vote_life // 4)
-                vote.not_before = now + vote.pause + i.chance.below(vote.pause)
-                if status == face.VOID:
-                    vote.not_before = now + self.s.vote_timeout  # the news that it lags behind is on its way
+                # After a void vote the news that the vote lags behind is on its way.
+                wait = self.s.vote_timeout if status == face.VOID else vote.pause
+                vote.said, vote.not_before = None, now + wait + i.chance.below(self.beat)
         if status == face.COUNTED:
-            self._cap_told(now, build, standing, cap)
+            if i.news is None or i.news.build != build:
+                i.cap = Cap(self.s.stage_caps[0])
+            elif i.news.standing == face.RELEASED:
+                i.cap = Cap(1.0)
+            self._cap(now)
+            i.cap.told(cap, now + self.s.drain_grace)
             if i.case and i.news and i.news.build == build == i.case.build and stage > i.news.stage:
                 # A stage that went on in spite of one slow machine: the next is judged without its word.
                 i.case.weights = self._start() if self._posteriors()[SLOW] >= CALM else i.case.weights
@@ -189,14 +192,13 @@
 
     def _become(self, rq: Req, state: str) -> None:
         rq.state = state
-        if state == ENDED and not any(one.out for one in rq.tries):
+        if state == ENDED and not rq.out():
             self.i.reqs.pop(rq.id, None)
 
     def _try_or_end(self, now: int, rq: Req) -> None:
         unit = self._pick(now, rq)
         if unit is None:
-            self._give_up(now, rq)
-            return
+            return self._give_up(now, rq)
         rq.tries.append(Try(len(rq.tries), unit, now, now - unit.since < self.s.warm_after // 2))
         self._become(rq, TRYING)
         unit.open += 1
@@ -208,8 +210,7 @@
         self.out.append((face.SEND, rq.id, unit.id, rq.due - now))
 
     def _give_up(self, now: int, rq: Req) -> None:
-        ran = any(one.may_have_run for one in rq.tries)
-        harmless = rq.route.repeat == known.RETRIABLE or not ran or (
+        harmless = rq.route.repeat == known.RETRIABLE or not rq.ran() or (
             rq.route.repeat == known.DEDUPED and rq.route.group not in (known.GROUP_ZONE, known.GROUP_CELL))
         if harmless:
             back = int(self.s.longest_return * COME_BACK_SHARE) if self.s.may_name_return else 0
@@ -223,18 +224,15 @@
         s, route = self.s, rq.route
         if rq.state == ENDED or now >= rq.due - s.tick or len(rq.tries) >= s.max_tries:
             return False
-        ran = [one for one in rq.tries if one.may_have_run]
-        if ran:
-            if route.repeat == known.NON_RETRIABLE or (not s.may_duplicate and any(one.out for one in ran)):
-                return False
-            if route.repeat == known.DEDUPED and (
-                    now > ran[0].sent + route.memory - s.tick
-                    or (route.group == known.GROUP_ZONE and any(one.unit.zone != unit.zone for one in ran))
-                    or (route.group == known.GROUP_CELL and any(one.unit.cell != unit.cell for one in ran))):
-                return False
-        if unit.health != face.READY or not self._cold_room(now, unit):
+        ran = rq.ran()
+        if ran and (route.repeat == known.NON_RETRIABLE or (rq.out() and not s.may_duplicate)):
             return False
-        return self._exposure_room(now, rq, unit)
+        if ran and route.repeat == known.DEDUPED and (
+                now > ran[0].sent + route.memory - s.tick
+                or (route.group == known.GROUP_ZONE and any(one.unit.zone != unit.zone for one in ran))
+                or (route.group == known.GROUP_CELL and any(one.unit.cell != unit.cell for one in ran))):
+            return False
+        return unit.health == face.READY and self._cold_room(now, unit) and self._exposure_room(now, rq, unit)
 
     def _ramp(self, now: int, unit: Unit) -> float:
         age = (now - unit.since) / self.s.warm_after
@@ -251,9 +249,6 @@
         part = COLD_SAFETY * self.s.overload_factor * ramp * usual / max(len(self.i.ready), 1)
         return sent + 1 <= max(1.0, part)
 
-    def _scope(self, place: int) -> int:
-        return place if self.s.cap_by_route else 0
-
     def _on_trial(self, build: int) -> bool:
         news = self.i.news
         if news is None:
@@ -261,24 +256,13 @@
         return build > news.build or (build == news.build and news.standing != face.RELEASED)
 
     def _tries_at(self, build: int, place: int) -> Window:
-        return self.i.tried.setdefault((build, self._scope(place)), Window())
-
-    def _cap_told(self, now: int, build: int, standing: int, cap: float) -> None:
-        i = self.i
-        if i.news is None or i.news.build != build:
-            before = self.s.stage_caps[0] if any(tried == build for tried, _ in i.tried) else cap
-        else:
-            before = 1.0 if i.news.standing == face.RELEASED else self._cap(now)
-        i.cap, i.cap_next, i.cap_binds = max(before, cap), cap, now + self.s.drain_grace
+        return self.i.tried.setdefault((build, self.scopes[place]), Window())
 
     def _cap(self, now: int) -> float:
-        i = self.i
-        if i.cap_next < i.cap and now >= i.cap_binds - 2 * self.s.tick:
-            i.cap = i.cap_next
-            for (build, _), times in i.tried.items():
-                if build == i.news.build:
-                    times.clear()
-        return i.cap
+        if self.i.cap.falls(now):
+            for place in self.scopes:
+                self._tries_at(self.i.news.build, place).clear()
+        return self.i.cap.now
 
     def _exposure_room(self, now: int, rq: Req, unit: Unit) -> bool:
         """Rule 5: the windowed count of tries at a build on trial stays within the cap last told."""
@@ -293,7 +277,7 @@
         if named and news.standing != face.ON_TRIAL and news.cap == 0:
             return False
         tried = self._tries_at(unit.build, rq.place).since(now - s.cap_window - s.tick)
-        took = i.took[self._scope(rq.place)].since(now - s.cap_window + s.tick)
+        took = i.took[self.scopes[rq.place]].since(now - s.cap_window + s.tick)
         return tried + 1 <= s.cap_free + cap * took
 
     # choosing a unit
@@ -317,7 +301,7 @@
             elif doubtful and rq.route.repeat != known.RETRIABLE:
                 pool = [unit for unit in pool if unit not in trial]
             elif not doubtful:
-                # Machines on trial get their part, wherever they stand: more, from several relays at once,
+                # Machines on trial get their even part, from any zone: more, from several relays at once,
                 # would queue there and pass for slowness; less would leave the build unjudged.
                 one = self._two_choices(now, rq, trial)
                 two = self._two_choices(now, rq, [unit for unit in pool if unit not in trial])
@@ -326,16 +310,12 @@
         return self._two_choices(now, rq, pool)
 
     def _two_choices(self, now: int, rq: Req, pool: list[Unit]) -> Unit:
-        near = [unit for unit in pool if unit.zone == self.s.zone] if self.s.crossing_price else pool
-        if not near:
-            return self._better(now, pool)
-        unit = self._better(now, near)
-        if len(near) < len(pool):
-            wait = self._cost(now, unit) * self.i.typical[rq.place]
-            if wait > FAR_AFTER * rq.route.objective:
-                far = self._better(now, [one for one in pool if one.zone != self.s.zone])
-                if self._cost(now, far) * FAR_BETTER < self._cost(now, unit):
-                    return far
+        near = [unit for unit in pool if unit.zone == self.s.zone or not self.s.crossing_price]
+        unit = self._better(now, near or pool)
+        wait = self._cost(now, unit)
+        if 0 < len(near) < len(pool) and wait * self.i.typical[rq.place] > FAR_AFTER * rq.route.objective:
+            far = self._better(now, [one for one in pool if one not in near])
+            return far if self._cost(now, far) * FAR_BETTER < wait else unit
         return unit
 
     def _better(self, now: int, pool: list[Unit]) -> Unit:
@@ -344,8 +324,13 @@
         return one if self._cost(now, one) <= self._cost(now, two) else two
 
     def _cost(self, now: int, unit: Unit) -> float:
-        told = sum(loads.get(unit.id, 0) for at, loads in self.i.loads.values() if now - at < LOADS_LAST)
-        return math.sqrt(unit.pace) * (unit.open + told + 1) / self._ramp(now, unit)
+        return math.sqrt(unit.pace) * (self._told(now, unit)[0] + 1) / self._ramp(now, unit)
+
+    def _told(self, now: int, unit: Unit) -> list[float]:
+        """A unit's open tries, and those that lately ended and failed, at this relay and as its peers told."""
+        told = [loads[unit.id] for at, loads in self.i.loads.values()
+                if now - at < LOADS_LAST and unit.id in loads]
+        return [sum(counts) for counts in zip((unit.open, unit.seen, unit.failed, 0), *told, strict=True)]
 
     def _leave_silent(self, now: int) -> None:
         """A silent unit's reqs are tried elsewhere while they can be in time; a long req alone runs on."""
@@ -362,8 +347,8 @@
         if unit.aside_until > now:
             return True
         # A silent unit gives no outcome until a try's time-out: having left this long unanswered is telling.
-        return unit.unanswered is not None and now - unit.unanswered > max(
-            rq.route.objective / 3, 3 * self.i.typical[rq.place])
+        most = max(rq.route.objective / 3, 3 * self.i.typical[rq.place])
+        return unit.unanswered is not None and now - unit.unanswered > most
 
     def _learn(self, now: int, rq: Req, done: Try, status: str, lag: int) -> None:
         i, unit, good = self.i, done.unit, status == face.OK
@@ -372,7 +357,7 @@
         if done.build != unit.build or status in (face.CANCELLED, face.UNSENT):
             return
         unit.failing += FAIL_GAIN * ((not good) - unit.failing)
-        unit.clean = unit.clean + 1 if good else 0
+        unit.clean = (unit.clean % CLEAN_WRAP + 1) * good
         unit.seen, unit.failed = unit.seen * SEEN_FADE + 1, unit.failed * SEEN_FADE + (not good)
         if good or status == face.TIMEOUT:
             i.strain += STRAIN_GAIN * (min(lag / rq.route.objective, STRAIN_CLIP) - i.strain)
@@ -385,9 +370,6 @@
             i.typical[rq.place] += PACE_GAIN / 4 * (lag - i.typical[rq.place])
             unit.aside_for = unit.aside_for * 3 // 4
             i.answered.add(now)
-            for relay, since in i.asked.pop(unit.id, {}).items() if unit.failing < RESTED_FAILING / 2 else ():
-                if now - since < 10 * self.s.tip_after:
-                    self.out.append((face.TELL, relay, messages.pack_unit(messages.GOOD, unit.id)))
             if self.s.keys_stay and rq.key is not None and self._on_trial(done.build):
                 i.keys[rq.key] = done.build
         elif status in (face.UNREACHED, face.TIMEOUT) or (
@@ -402,19 +384,17 @@
             return
         unit.aside_for = min(max(2 * unit.aside_for, self.s.tip_after), 8 * self.s.tip_after)
         unit.aside_until, unit.failing = now + unit.aside_for, RESTED_FAILING
-        if self.s.may_tell and self.s.relays > 1:
-            self.out.append((face.TELL, "all", messages.pack_unit(messages.ASIDE, unit.id)))
 
     # the judge
 
     def _members(self) -> list[tuple[str, int | None, float, float]]:
         """Each kind's members: where it shows (None: everywhere), how strongly, its part of the prior."""
-        routes = range(len(self.s.routes))
-        failing = [(FAILING, None, FAIL_ALL)] + [(FAILING, place, FAIL_ROUTE) for place in routes]
-        slow = [(SLOW, None, SLOWER)]
-        wrong = [(WRONG, None, WRONG_SHARE * self.s.complaint_share)] if self.s.complaint_share else []
-        total = sum(PRIORS[kind[0][0]] for kind in (failing, slow, wrong) if kind)
-        return [(*one, PRIORS[one[0]] / total / len(kind)) for kind in (failing, slow, wrong) for one in kind]
+        found = [(FAILING, None, FAIL_ALL), (SLOW, None, SLOWER)]
+        found += [(FAILING, place, FAIL_ROUTE) for place in range(len(self.s.routes))]
+        found += [(WRONG, None, WRONG_SHARE * self.s.complaint_share)] if self.s.complaint_share else []
+        kinds = [kind for kind, *_ in found]
+        total = sum(PRIORS[kind] for kind in dict.fromkeys(kinds))
+        return [(*one, PRIORS[one[0]] / total / kinds.count(one[0])) for one in found]
 
     def _start(self) -> list[float]:
         return [math.log(1 - SUSPECT)] + [math.log(SUSPECT * prior) for *_, prior in self.members]
@@ -426,8 +406,7 @@
         if i.case is not None and i.news is not None and i.news.standing == face.RELEASED:
             i.base = i.newer
         i.newer = [Sums() for _ in self.s.routes]
-        places = sum(1 for unit in i.ready if unit.build < build)
-        i.case = Case(build, places, len(self.s.routes), self._start())
+        i.case = Case(build, sum(unit.build < build for unit in i.ready), len(i.newer), self._start())
 
     def _count(self, now: int, rq: Req, done: Try, status: str, lag: int) -> None:
         """An outcome as evidence. A time-out tells of latency: its limit is ours, not the build's failure."""
@@ -440,20 +419,20 @@
         if done.build < case.build:
             for sums in (case.earlier[rq.place], i.base[rq.place]):
                 sums.add(1, failed, timed, logs, logs * logs)
-        elif not (failed and self._machine_to_blame(done.unit)):
+        elif not (failed and self._machine_to_blame(now, done.unit)):
             for sums in (case.own[rq.place], i.newer[rq.place]):
                 sums.add(1, failed, timed, logs, logs * logs)
             self._weigh(case, rq.place, 1, failed, timed, logs, 0)
 
-    def _machine_to_blame(self, unit: Unit) -> bool:
-        """A machine's own errors would pass for the build's. They are the machine's where at least half of its
-        fellows as old as it are surely sound; where it has no fellow, while machines of the earlier build fail."""
-        fellows = [one for one in self._machines(unit.build)
+    def _machine_to_blame(self, now: int, unit: Unit) -> bool:
+        """Told from the build's: many of its fellows as old as it are surely sound; without a fellow, a machine
+        of the earlier build fails too."""
+        fellows = [self._told(now, one) for one in self._machines(unit.build)
                    if one is not unit and one.since <= unit.since + SAME_AGE]
-        share = unit.failed / (unit.seen + 1)
-        sound = sum((1 - share) ** one.clean < SURE for one in fellows)
-        return 2 * sound >= len(fellows) if fellows else any(
-            one.failing >= RESTED_FAILING for one in self.i.ready if one.build < unit.build)
+        if fellows:
+            sound = sum(failed < 1 and (1 - unit.failing) ** seen < SURE for _, seen, failed, _ in fellows)
+            return sound >= SOUND_FELLOWS * len(fellows)
+        return any(self._told(now, one)[2] >= FAILS_TOO for one in self.i.ready if one.build < unit.build)
 
     def _usual(self, place: int) -> tuple[float, float]:
         """Mean and spread of log latency at the earlier build; zeros while too little is known."""
@@ -517,10 +496,10 @@
         case.timed += timed
 
     def _posteriors(self) -> dict[str, float]:
-        kinds: dict[str, float] = {}
+        found = dict.fromkeys([kind for kind, *_ in self.members], 0.0)
         for (kind, *_), weight in zip(self.members, self.i.case.weights[1:], strict=True):
-            kinds[kind] = kinds.get(kind, 0.0) + math.exp(weight)
-        return kinds
+            found[kind] += math.exp(weight)
+        return found
 
     # votes
 
@@ -535,13 +514,13 @@
                 s.control == known.ANY and s.me not in self._voters(news.build)):
             return
         verdict = self._verdict(now, news)
-        if (vote.answer_due and now < vote.answer_due) or now < vote.not_before:
+        if now < vote.not_before:
             return
         wanted = (news.build, news.stage if verdict in (face.VOTE_ON, face.VOTE_HOLD) else 0, verdict)
         if (vote.said == wanted and now < vote.cast + s.vote_life // 2) or (
                 verdict == face.NO_VOTE and (vote.said is None or vote.said[2] == face.NO_VOTE)):
             return
-        vote.said, vote.cast, vote.answer_due = wanted, now, now + s.vote_timeout + self.beat
+        vote.said, vote.cast, vote.not_before = wanted, now, now + s.vote_timeout + self.beat
         found = ", ".join(f"{kind} {part:.2f}" for kind, part in self._posteriors().items())
         note = f"vote {verdict} on build {news.build} stage {news.stage}: {i.case.counted} counted, {found}"
         self.out += [(face.VOTE, news.build, news.stage, verdict), (face.NOTE, note)]
@@ -549,7 +528,6 @@
     def _verdict(self, now: int, news: News) -> int:
         machines = [unit.since for unit in self._machines(news.build)]
         found, alone = self._posteriors(), len(machines) < 2
-        worst = max(found.values())
         # One machine's slowness can't tell it from the build: it holds for a while, then a second one is due.
         if news.standing in (face.ON_TRIAL, face.RELEASED) and any(
                 part > 1 / (1 + ODDS) and not (alone and kind == SLOW) for kind, part in found.items()):
@@ -557,41 +535,33 @@
         if news.standing != face.ON_TRIAL:
             return face.NO_VOTE
         if self.s.control == known.CLOCKED:
-            return face.VOTE_HOLD if worst >= CALM else face.NO_VOTE
-        if not machines or now - max(machines) < RUN_BEFORE_ON:
-            return face.NO_VOTE
-        alone = alone and now - machines[0] >= 3 * RUN_BEFORE_ON
-        if any(part >= CALM and not (alone and kind == SLOW) for kind, part in found.items()):
-            return face.NO_VOTE
+            return face.VOTE_HOLD if max(found.values()) >= CALM else face.NO_VOTE
+        ran = now - max(machines, default=now)
+        alone = alone and ran >= 3 * RUN_BEFORE_ON
+        calm = all(part < CALM or (alone and kind == SLOW) for kind, part in found.items())
         due = int(self.s.stage_shares[news.stage] * self.i.case.places + 0.5)
-        if len(machines) < due and now - news.began < 3 * RUN_BEFORE_ON:
-            return face.NO_VOTE
-        waited = now - max(machines) >= 2 * RUN_BEFORE_ON
-        return face.VOTE_ON if self.i.case.counted >= ENOUGH or waited else face.NO_VOTE
+        there = len(machines) >= due or now - news.began >= 3 * RUN_BEFORE_ON
+        enough = self.i.case.counted >= ENOUGH or ran >= 2 * RUN_BEFORE_ON
+        return face.VOTE_ON if calm and there and enough and ran >= RUN_BEFORE_ON else face.NO_VOTE
 
     # peers and the directory
 
     def _ask(self, now: int) -> None:
-        self.i.asking, self.i.ask_at = True, now
-        self.out.append((face.WATCH,))
+        if 0 < self.i.ask_at <= now:
+            self.i.ask_at = 0
+            self.out.append((face.WATCH,))
 
     def _tell(self, now: int) -> None:
         i, case = self.i, self.i.case
         i.told_at += 1
         if self.s.may_tell and self.s.relays > 1 and i.told_at % self.s.relays == 0:
-            loads = [(unit.id, unit.open) for unit in i.ready if unit.open]
+            loads = [(unit.id, unit.open, unit.seen, unit.failed, unit.clean) for unit in i.ready]
             self.out.append((face.TELL, "all", messages.pack_loads(loads)))
-        if case is None or not self.s.may_tell or i.told_at % TELL_BEATS:
-            return
-        i.told_number += 1
-        rows = [(int(own.count), int(own.failed), int(own.timed), own.logs,
-                 int(old.count), int(old.failed), int(old.timed), old.logs, old.squares)
-                for own, old in zip(case.own, case.earlier, strict=True)]
-        epoch = i.started // 1000 % (1 << 32)
-        bodies = messages.pack_sums(epoch, i.told_number, case.build, case.complained, rows)
-        for relay in self._voters(case.build):
-            if relay != self.s.me:
-                self.out += [(face.TELL, relay, body) for body in bodies]
+        if case and self.s.may_tell and i.told_at % TELL_BEATS == 0:
+            epoch = i.started // 1000 % (1 << 32)
+            bodies = messages.pack_sums(epoch, i.told_at, case.build, case.complained, case.rows())
+            voters = [relay for relay in self._voters(case.build) if relay != self.s.me]
+            self.out += [(face.TELL, relay, body) for relay in voters for body in bodies]
 
     def _hear(self, relay: int, told: messages.Told) -> None:
         i, case = self.i, self.i.case
--- a/laurelcourse/state.py
+++ b/laurelcourse/state.py
@@ -39,7 +39,32 @@
 
     def __init__(self, name: str, route: Route, place: int, key: int | None, taken: int, due: int) -> None:
         self.id, self.route, self.place, self.key, self.taken, self.due = name, route, place, key, taken, due
-        self.state, self.tries = NEW, []
+        self.state = NEW
+        self.tries: list[Try] = []
+
+    def out(self) -> bool:
+        return any(one.out for one in self.tries)
+
+    def ran(self) -> list[Try]:
+        return [one for one in self.tries if one.may_have_run]
+
+
+class Cap:
+    """The share of a build on trial, as last told; a lower one binds after the grace, and counts afresh."""
+
+    __slots__ = ("binds", "coming", "now")
+
+    def __init__(self, share: float) -> None:
+        self.now = self.coming = share
+        self.binds = 0
+
+    def told(self, share: float, binds: int) -> None:
+        self.now, self.coming, self.binds = max(self.now, share), share, binds
+
+    def falls(self, now: int) -> bool:
+        falls = self.coming < self.now and now >= self.binds
+        self.now = self.coming if falls else self.now
+        return falls
 
 
 class Unit:
@@ -98,6 +123,11 @@
         self.earlier = [Sums() for _ in range(routes)]
         self.heard: dict[tuple[int, int], Told] = {}
 
+    def rows(self) -> list[tuple]:
+        return [(int(own.count), int(own.failed), int(own.timed), own.logs,
+                 int(old.count), int(old.failed), int(old.timed), old.logs, old.squares)
+                for own, old in zip(self.own, self.earlier, strict=True)]
+
     def gain(self, relay: int, told: Told) -> tuple[int, list[list[float]]]:
         """What a peer's running sums add: nothing where they were overtaken, all since a restart."""
         before = self.heard.get((relay, told.first))
@@ -112,11 +142,11 @@
 
 
 class Vote:
-    __slots__ = ("answer_due", "cast", "not_before", "pause", "said")
+    __slots__ = ("cast", "not_before", "pause", "said")
 
     def __init__(self) -> None:
         self.said: tuple[int, int, int] | None = None
-        self.cast = self.not_before = self.answer_due = self.pause = 0
+        self.cast = self.not_before = self.pause = 0
 
 
 class News:
@@ -135,12 +165,12 @@
         self.ready: list[Unit] = []
         self.reqs: dict[str, Req] = {}
         self.news: News | None = None
-        self.cap, self.cap_next, self.cap_binds = 0.0, 0.0, 0
+        self.cap = Cap(0.0)
         self.tried: dict[tuple[int, int], Window] = {}
         self.took = [Window() for _ in range(routes)]
         self.open, self.usual_open, self.limit, self.strain = 0, 0.0, 20.0, 0.0
         self.retries = 10.0
-        self.loads: dict[int, tuple[int, dict[int, int]]] = {}
+        self.loads: dict[int, tuple[int, dict[int, list[int]]]] = {}
         self.answered = Window()
         self.keys: dict[int, int] = {}
         self.case: Case | None = None
@@ -148,9 +178,8 @@
         self.newer = [Sums() for _ in range(routes)]
         self.typical = [0.0] * routes
         self.vote = Vote()
-        self.asking, self.ask_at, self.ask_pause = False, 0, 0
-        self.told_at = self.told_number = 0
-        self.asked: dict[int, dict[int, int]] = {}
+        self.ask_at = self.ask_pause = 0
+        self.told_at = 0
 
     def list_units(self, entries: Iterable[Listed], whole: bool) -> None:
         listed = {entry.unit: entry for entry in entries}
