--- a/laurelcourse/rules.py
+++ b/laurelcourse/rules.py
@@ -29,9 +29,9 @@
 PRIORS = {FAILING: 0.5, SLOW: 0.25, WRONG: 0.25}
 FAIL_FLOOR, FALSE_COMPLAINTS = 0.01, 0.005
 FAIL_ALL, FAIL_ROUTE, WRONG_SHARE = 0.15, 0.5, 0.1
-SLOWER, SPREAD_FLOOR, SPREAD_CLIP = math.log(2.5), 0.5, 2.5
+SLOWER, SPREAD_FLOOR, SPREAD_CLIP = math.log(2.5), 0.5, 1.5
 BASE_ENOUGH, ENOUGH, BASE_HALVES = 8, 12, 8_000_000
-UNLIKE_NOISE, UNLIKE_FLOOR, SURE, SOUND_FELLOWS, SAME_AGE = 0.05, 0.06, 0.1, 0.3, 1_000_000
+UNLIKE_NOISE, UNLIKE_FLOOR, SURE, SOUND_FELLOWS, SAME_AGE = 0.05, 0.12, 0.1, 0.3, 1_000_000
 TRIAL_DEARER = 4.0                 # how much dearer a choice on trial may be than one elsewhere
 RUN_BEFORE_ON, VOTERS_SPARE = 3_250_000, 2
 BEATS, TELL_BEATS = 10, 5          # ticks a beat, beats between two messages
@@ -327,7 +327,7 @@
         return math.sqrt(unit.pace) * (self._told(now, unit)[0] + 1) / self._ramp(now, unit)
 
     def _told(self, now: int, unit: Unit) -> list[float]:
-        """A unit's open tries, and those that lately ended and failed, at this relay and as its peers told."""
+        """A unit's open tries, and those that lately ended and failed, at this relay and as peers told."""
         told = [loads[unit.id] for at, loads in self.i.loads.values()
                 if now - at < LOADS_LAST and unit.id in loads]
         return [sum(counts) for counts in zip((unit.open, unit.seen, unit.failed, 0), *told, strict=True)]
@@ -347,15 +347,18 @@
         if unit.aside_until > now:
             return True
         # A silent unit gives no outcome until a try's time-out: having left this long unanswered is telling.
-        most = max(rq.route.objective / 3, 3 * self.i.typical[rq.place])
+        # On trial it is told from a slow build only by waiting longer: setting it aside would starve the judge.
+        most = max(rq.route.objective / 3, 3 * self.i.typical[rq.place]) * (3 if self._on_trial(unit.build) else 1)
         return unit.unanswered is not None and now - unit.unanswered > most
 
     def _learn(self, now: int, rq: Req, done: Try, status: str, lag: int) -> None:
         i, unit, good = self.i, done.unit, status == face.OK
         if status not in (face.TIMEOUT, face.UNREACHED, face.CANCELLED) or not unit.open:
             unit.unanswered = now if unit.open else None
-        if done.build != unit.build or status in (face.CANCELLED, face.UNSENT):
+        if done.build != unit.build or status == face.UNSENT:
             return
+        if status == face.CANCELLED:
+            return self._count(now, rq, done, status, lag)
         unit.failing += FAIL_GAIN * ((not good) - unit.failing)
         unit.clean = (unit.clean % CLEAN_WRAP + 1) * good
         unit.seen, unit.failed = unit.seen * SEEN_FADE + 1, unit.failed * SEEN_FADE + (not good)
