--- a/laurelcourse/rules.py
+++ b/laurelcourse/rules.py
@@ -30,7 +30,7 @@
 FAIL_FLOOR, FALSE_COMPLAINTS = 0.01, 0.005
 FAIL_ALL, FAIL_ROUTE, WRONG_SHARE = 0.15, 0.5, 0.1
 SLOWER, SPREAD_FLOOR, SPREAD_CLIP = math.log(2.5), 0.5, 1.5
-BASE_ENOUGH, ENOUGH, BASE_HALVES = 8, 12, 8_000_000
+BASE_ENOUGH, ENOUGH, BASE_HALVES = 8, 12, 4_000_000
 UNLIKE_NOISE, UNLIKE_FLOOR, SURE, SOUND_FELLOWS, SAME_AGE = 0.05, 0.12, 0.1, 0.3, 1_000_000
 TRIAL_DEARER = 4.0                 # how much dearer a choice on trial may be than one elsewhere
 RUN_BEFORE_ON, VOTERS_SPARE = 3_250_000, 2
@@ -50,6 +50,7 @@
     def __init__(self, settings: known.Settings, seed: int, now: int) -> None:
         self.s, self.out = settings, []
         self.i = Instance(seed, now, len(settings.routes))
+        self.i.typical = [route.objective / 4 for route in settings.routes]
         self.top = max(route.earnings for route in settings.routes)
         self.places = {route.name: place for place, route in enumerate(settings.routes)}
         self.scopes = [place if settings.cap_by_route else 0 for place in range(len(settings.routes))]
@@ -347,8 +348,9 @@
         if unit.aside_until > now:
             return True
         # A silent unit gives no outcome until a try's time-out: having left this long unanswered is telling.
-        # On trial it is told from a slow build only by waiting longer: setting it aside would starve the judge.
-        most = max(rq.route.objective / 3, 3 * self.i.typical[rq.place]) * (3 if self._on_trial(unit.build) else 1)
+        # On trial only a longer wait tells it from a slow build: setting it aside would starve the judge.
+        most = max(rq.route.objective / 2, 4 * self.i.typical[rq.place])
+        most *= 2 if self._on_trial(unit.build) else 1
         return unit.unanswered is not None and now - unit.unanswered > most
 
     def _learn(self, now: int, rq: Req, done: Try, status: str, lag: int) -> None:
@@ -364,7 +366,6 @@
         unit.seen, unit.failed = unit.seen * SEEN_FADE + 1, unit.failed * SEEN_FADE + (not good)
         if good or status == face.TIMEOUT:
             i.strain += STRAIN_GAIN * (min(lag / rq.route.objective, STRAIN_CLIP) - i.strain)
-        i.typical[rq.place] = i.typical[rq.place] or max(lag, 1)
         pace = lag / i.typical[rq.place]
         if not good and not self._on_trial(unit.build):
             pace = max(PACE_OF_FAILURE, pace)
@@ -412,11 +413,12 @@
         i.case = Case(build, sum(unit.build < build for unit in i.ready), len(i.newer), self._start())
 
     def _count(self, now: int, rq: Req, done: Try, status: str, lag: int) -> None:
-        """An outcome as evidence. A time-out tells of latency: its limit is ours, not the build's failure."""
+        """An outcome as evidence, but for connections that failed or broke. A time-out tells of latency."""
         i, case = self.i, self.i.case
-        if status in (face.UNREACHED, face.BUSY) or done.fresh or case is None or done.build > case.build:
+        uncounted = status in (face.UNREACHED, face.RESET, face.BUSY) or done.fresh
+        if uncounted or case is None or done.build > case.build:
             return
-        failed, timed, logs = int(status in (face.FAILED, face.RESET)), 0, 0.0
+        failed, timed, logs = int(status == face.FAILED), 0, 0.0
         if not failed and self._ramp(done.sent, done.unit) >= 1.0:
             timed, logs = 1, math.log(max(lag, 1))
         if done.build < case.build:
@@ -428,8 +430,8 @@
             self._weigh(case, rq.place, 1, failed, timed, logs, 0)
 
     def _machine_to_blame(self, now: int, unit: Unit) -> bool:
-        """Told from the build's: many of its fellows as old as it are surely sound; without a fellow, a machine
-        of the earlier build fails too."""
+        """Told from the build's: many fellows as old as it are surely sound; where it has none, a machine of
+        the earlier build fails too."""
         fellows = [self._told(now, one) for one in self._machines(unit.build)
                    if one is not unit and one.since <= unit.since + SAME_AGE]
         if fellows:
--- a/laurelcourse/state.py
+++ b/laurelcourse/state.py
@@ -176,7 +176,7 @@
         self.case: Case | None = None
         self.base = [Sums() for _ in range(routes)]
         self.newer = [Sums() for _ in range(routes)]
-        self.typical = [0.0] * routes
+        self.typical: list[float] = []
         self.vote = Vote()
         self.ask_at = self.ask_pause = 0
         self.told_at = 0
