--- a/laurelcourse/chance.py
+++ b/laurelcourse/chance.py
@@ -14,3 +14,8 @@
 
     def share(self) -> float:
         return self.below(1 << 30) / (1 << 30)
+
+
+def hashed(one: int, two: int) -> int:
+    """The same scattered number wherever it is asked for."""
+    return (one * 2654435761 + two * 40503 + 1) * 2246822519 % (1 << 32)
--- a/laurelcourse/rules.py
+++ b/laurelcourse/rules.py
@@ -7,8 +7,7 @@
 Beside the design stand these mechanisms:
 1. guard: every send, shed and error passes one place that keeps the five rules.
 2. pace: latencies, and the open tries that relays tell each other, steer the two choices.
-3. set-aside: a failing, silent or unreachable unit rests; its reqs are tried elsewhere; time or a peer's good
-   answers bring it back.
+3. set-aside: a failing, silent or unreachable unit rests until its time is up or a peer has good answers.
 4. home first: a unit of the own zone is taken unless it would make the req late.
 5. shedding: open tries are held to what is answered in time; what is given up is answered at once.
 6. machine's fault: what one machine does against its fellows is not held against the build.
@@ -20,11 +19,12 @@
 from laurelcourse import interface as face
 from laurelcourse import messages
 from laurelcourse import settings as known
+from laurelcourse.chance import hashed
 from laurelcourse.interface import Result
 from laurelcourse.state import ENDED, TRYING, Cap, Case, Instance, News, Req, Sums, Try, Unit, Window
 
 # the judge: p, p0, every Ai; kinds and their priors; densities
-CHANGE, SUSPECT, ODDS, CALM = 0.0005, 0.3, 0.05, 0.2
+CHANGE, SUSPECT, ODDS, CALM, DOUBT = 0.0005, 0.3, 0.05, 0.2, 0.5
 FAILING, SLOW, WRONG = "failing", "slow", "wrong"
 PRIORS = {FAILING: 0.5, SLOW: 0.25, WRONG: 0.25}
 FAIL_FLOOR, FALSE_COMPLAINTS = 0.01, 0.005
@@ -32,11 +32,9 @@
 SLOWER, SPREAD_FLOOR, SPREAD_CLIP = math.log(2.5), 0.5, 1.5
 BASE_ENOUGH, ENOUGH, BASE_HALVES = 8, 12, 4_000_000
 UNLIKE_NOISE, UNLIKE_FLOOR, SURE, SOUND_FELLOWS, SAME_AGE = 0.05, 0.12, 0.1, 0.3, 1_000_000
-TRIAL_DEARER = 4.0                 # how much dearer a choice on trial may be than one elsewhere
-RUN_BEFORE_ON, VOTERS_SPARE = 3_250_000, 2
-BEATS, TELL_BEATS = 10, 5          # ticks a beat, beats between two messages
+RUN_BEFORE_ON, VOTERS_SPARE, BEATS, TELL_BEATS = 3_250_000, 2, 10, 5
 # routing, health and shedding; shares are of the latency objective
-FAR_AFTER, FAR_BETTER, SILENT_AFTER = 0.5, 2.0, 0.4
+FAR_AFTER, FAR_BETTER, SILENT_AFTER, TRIAL_DEARER = 0.5, 2.0, 0.4, 4.0
 STRAIN, STRAIN_GAIN, STRAIN_CLIP = 0.5, 0.08, 1.5
 LIMIT_SPAN = LOADS_LAST = 1_000_000
 LIMIT_FALL, LIMIT_RISE, EARNINGS_BEND = 0.1, 1.02, 0.25
@@ -55,14 +53,11 @@
         self.places = {route.name: place for place, route in enumerate(settings.routes)}
         self.scopes = [place if settings.cap_by_route else 0 for place in range(len(settings.routes))]
         self.beat = BEATS * settings.tick
-        self.fade = 0.5 ** (self.beat / BASE_HALVES)
-        self.members = self._members()
-
-    # calls
+        self.fade, self.members = 0.5 ** (self.beat / BASE_HALVES), self._members()
 
     def start(self, now: int) -> list[Result]:
         self.out.append((face.WAKE, self.beat, "beat"))
-        self.i.ask_at = now if self.s.must_ask else 0
+        self.i.ask_at = now * self.s.must_ask
         self._ask(now)
         return self._results()
 
@@ -72,17 +67,13 @@
         rq = self.i.reqs[req] = Req(req, self.s.routes[place], place, key, now, now + left)
         self.i.took[self.scopes[place]].add(now)
         self.i.retries = min(self.i.retries + RETRY_SHARE, RETRY_STORE)
-        if self.i.open < self.i.limit * (rq.route.earnings / self.top) ** EARNINGS_BEND:
-            self._try_or_end(now, rq)
-        else:
-            self._give_up(now, rq)
+        room = self.i.limit * (rq.route.earnings / self.top) ** EARNINGS_BEND
+        self._try_or_end(now, rq, self.i.open < room)
         return self._results()
 
     def outcome(self, now: int, req: str, number: int, unit: int, status: str, lag: int, last: bool,
                 load: dict[str, float]) -> list[Result]:
-        rq = self.i.reqs.get(req)
-        if rq is None or number >= len(rq.tries):
-            return self._results()
+        rq = self.i.reqs[req]
         done = rq.tries[number]
         done.out, done.may_have_run = False, status not in face.NEVER_RAN
         done.unit.open -= 1
@@ -90,12 +81,11 @@
         self._learn(now, rq, done, status, lag)
         if last or rq.state == ENDED:
             self._become(rq, ENDED)
-        elif not rq.out() and self.i.retries >= 1:
-            # Further tries are a bounded share of the reqs: in an overload they would feed it.
-            self.i.retries -= 1
-            self._try_or_end(now, rq)
         elif not rq.out():
-            self._give_up(now, rq)
+            # Further tries are a bounded share of the reqs: in an overload they would feed it.
+            may = self.i.retries >= 1
+            self.i.retries -= may
+            self._try_or_end(now, rq, may)
         return self._results()
 
     def withdrawn(self, now: int, req: str) -> list[Result]:
@@ -106,14 +96,13 @@
     def directory(self, now: int, how: str, entries: Iterable[face.Listed]) -> list[Result]:
         i = self.i
         if how == face.BROKEN:
-            # A failed call or a lost watch is renewed ever more slowly, not to storm a struggling directory.
+            # A failed call or a lost watch is renewed ever more slowly: the directory may be struggling.
             i.ask_pause = min(max(2 * i.ask_pause, self.beat), self.s.ask_within // 8)
             i.ask_at = now + i.ask_pause + i.chance.below(i.ask_pause)
-            return self._results()
-        if how != face.CACHED:
-            i.ask_at = i.ask_pause = 0
-        i.list_units(entries, how != face.CHANGES)
-        self._open_case(max((unit.build for unit in i.ready), default=0))
+        else:
+            i.ask_at, i.ask_pause = (i.ask_at, i.ask_pause) if how == face.CACHED else (0, 0)
+            i.list_units(entries, how != face.CHANGES)
+            self._open_case(max((unit.build for unit in i.ready), default=0))
         return self._results()
 
     def timer(self, now: int, token: str) -> list[Result]:
@@ -122,15 +111,12 @@
         self._ask(now)
         if i.case:
             i.case.timed *= self.fade
-        for sums in i.base + i.newer:
-            sums.fade(self.fade if sums.count > 4 * BASE_ENOUGH else 1.0)
+        for sums in [sums for sums in i.base + i.newer if sums.count > 4 * BASE_ENOUGH]:
+            sums.fade(self.fade)
         # Open tries are held to what is answered within the objective; what would be late is shed at once.
-        if i.strain > STRAIN:
-            i.limit = max(i.limit * (STRAIN / i.strain) ** LIMIT_FALL, 2.0)
-        else:
-            i.limit = i.limit * LIMIT_RISE + 0.05
+        change = (STRAIN / i.strain) ** LIMIT_FALL if i.strain > STRAIN else LIMIT_RISE
         i.usual_open += (i.open - i.usual_open) * self.beat / LIMIT_SPAN
-        i.limit = min(i.limit, 2 * i.usual_open + 10.0)
+        i.limit = max(2.0, min(i.limit * change, 2 * i.usual_open + 10.0))
         self._leave_silent(now)
         self._consider_vote(now)
         self._tell(now)
@@ -153,14 +139,11 @@
               cap: float, since: int) -> list[Result]:
         i, vote = self.i, self.i.vote
         if answers_vote:
-            vote.not_before = now
-            vote.pause = min(max(2 * vote.pause, self.beat), self.s.vote_life // 4)
-            if status == face.COUNTED:
-                vote.pause = 0
-            else:
-                # After a void vote the news that the vote lags behind is on its way.
-                wait = self.s.vote_timeout if status == face.VOID else vote.pause
-                vote.said, vote.not_before = None, now + wait + i.chance.below(self.beat)
+            counted = status == face.COUNTED
+            vote.pause = 0 if counted else min(max(2 * vote.pause, self.beat), self.s.vote_life // 4)
+            vote.said = vote.said if counted else None
+            # After a void vote the news that the vote lags behind is on its way.
+            vote.not_before = now + (self.s.vote_timeout if status == face.VOID else vote.pause)
         if status == face.COUNTED:
             if i.news is None or i.news.build != build:
                 i.cap = Cap(self.s.stage_caps[0])
@@ -182,7 +165,7 @@
         case, told = self.i.case, self.i.units.get(unit)
         if case and told and told.build == case.build and told.since < now - since:
             case.complained += 1
-            self._weigh(case, self.places[route], 0, 0, 0, 0.0, 1)
+            self._weigh(self.places[route], 0, 0, 0, 0.0, 1)
         return self._results()
 
     # the req's states, and the guard of the five rules
@@ -196,28 +179,23 @@
         if state == ENDED and not rq.out():
             self.i.reqs.pop(rq.id, None)
 
-    def _try_or_end(self, now: int, rq: Req) -> None:
-        unit = self._pick(now, rq)
+    def _try_or_end(self, now: int, rq: Req, may: bool) -> None:
+        unit = self._pick(now, rq) if may else None
         if unit is None:
             return self._give_up(now, rq)
         rq.tries.append(Try(len(rq.tries), unit, now, now - unit.since < self.s.warm_after // 2))
         self._become(rq, TRYING)
-        unit.open += 1
+        unit.begin(now)
         self.i.open += 1
-        unit.sends.add(now)
-        unit.unanswered = now if unit.unanswered is None else unit.unanswered
         if self._on_trial(unit.build):
             self._tries_at(unit.build, rq.place).add(now)
         self.out.append((face.SEND, rq.id, unit.id, rq.due - now))
 
     def _give_up(self, now: int, rq: Req) -> None:
-        harmless = rq.route.repeat == known.RETRIABLE or not rq.ran() or (
-            rq.route.repeat == known.DEDUPED and rq.route.group not in (known.GROUP_ZONE, known.GROUP_CELL))
-        if harmless:
-            back = int(self.s.longest_return * COME_BACK_SHARE) if self.s.may_name_return else 0
-            self.out.append((face.SHED, rq.id, back))
-        else:
-            self.out.append((face.ERROR, rq.id))
+        anywhere = rq.route.repeat == known.DEDUPED and rq.route.group == known.GROUP_ALL
+        harmless = rq.route.repeat == known.RETRIABLE or anywhere or not rq.ran()
+        back = int(self.s.longest_return * COME_BACK_SHARE) if self.s.may_name_return else 0
+        self.out.append((face.SHED, rq.id, back) if harmless else (face.ERROR, rq.id))
         self._become(rq, ENDED)
 
     def _may_send(self, now: int, rq: Req, unit: Unit) -> bool:
@@ -243,26 +221,23 @@
         """Rule 4: this relay's share of a cold unit's budget, safe if every other relay does the same."""
         ramp = self._ramp(now, unit)
         sent = unit.sends.since(now - self.s.tip_after - self.s.tick)
-        if ramp >= 1.0:
-            return True
         # Answers, not reqs, tell what a warm unit can do: in an overload far more is asked for.
         usual = self.i.answered.since(now - ANSWERED_OVER * self.s.tip_after) / ANSWERED_OVER
         part = COLD_SAFETY * self.s.overload_factor * ramp * usual / max(len(self.i.ready), 1)
-        return sent + 1 <= max(1.0, part)
+        return ramp >= 1.0 or sent + 1 <= max(1.0, part)
 
     def _on_trial(self, build: int) -> bool:
         news = self.i.news
         if news is None:
-            return bool(self.i.ready) and build > min(unit.build for unit in self.i.ready)
+            return build > min((unit.build for unit in self.i.ready), default=build)
         return build > news.build or (build == news.build and news.standing != face.RELEASED)
 
     def _tries_at(self, build: int, place: int) -> Window:
         return self.i.tried.setdefault((build, self.scopes[place]), Window())
 
     def _cap(self, now: int) -> float:
-        if self.i.cap.falls(now):
-            for place in self.scopes:
-                self._tries_at(self.i.news.build, place).clear()
+        for place in self.scopes if self.i.cap.falls(now) else ():
+            self._tries_at(self.i.news.build, place).clear()
         return self.i.cap.now
 
     def _exposure_room(self, now: int, rq: Req, unit: Unit) -> bool:
@@ -273,16 +248,13 @@
                         and (news is None or news.standing in (face.ON_TRIAL, face.RELEASED)))
         named = news is not None and news.build == unit.build
         cap, stage = (self._cap(now), news.stage) if named else (s.stage_caps[0], 0)
-        if stage < s.shielded and rq.route.repeat != known.RETRIABLE:
-            return False
-        if named and news.standing != face.ON_TRIAL and news.cap == 0:
+        shut = named and news.standing != face.ON_TRIAL and news.cap == 0
+        if shut or (stage < s.shielded and rq.route.repeat != known.RETRIABLE):
             return False
         tried = self._tries_at(unit.build, rq.place).since(now - s.cap_window - s.tick)
         took = i.took[self.scopes[rq.place]].since(now - s.cap_window + s.tick)
         return tried + 1 <= s.cap_free + cap * took
 
-    # choosing a unit
-
     def _pick(self, now: int, rq: Req) -> Unit | None:
         allowed = [unit for unit in self.i.ready if self._may_send(now, rq, unit)]
         tried = [one.unit for one in rq.tries]
@@ -291,21 +263,20 @@
         if not pool:
             return None
         trial = [unit for unit in pool if self._on_trial(unit.build)]
-        if trial and len(trial) < len(pool):
-            found = self._posteriors()
-            doubtful = (self.i.news is None or self.i.news.standing != face.ON_TRIAL
-                        or found[FAILING] + found.get(WRONG, 0.0) >= 0.5)
+        others = [unit for unit in pool if unit not in trial]
+        if trial and others:
+            found, news = self._posteriors(), self.i.news
+            bad = found[FAILING] + found.get(WRONG, 0.0) >= DOUBT
+            doubtful = bad or news is None or news.standing != face.ON_TRIAL
             if rq.tries:
                 # A failed req is tried on the other build, and both outcomes count.
-                other = not self._on_trial(rq.tries[-1].build)
-                pool = trial if other and not doubtful else [unit for unit in pool if unit not in trial]
-            elif doubtful and rq.route.repeat != known.RETRIABLE:
-                pool = [unit for unit in pool if unit not in trial]
-            elif not doubtful:
+                pool = others if doubtful or self._on_trial(rq.tries[-1].build) else trial
+            elif doubtful:
+                pool = pool if rq.route.repeat == known.RETRIABLE else others
+            else:
                 # Machines on trial get their even part, from any zone: more, from several relays at once,
                 # would queue there and pass for slowness; less would leave the build unjudged.
-                one = self._two_choices(now, rq, trial)
-                two = self._two_choices(now, rq, [unit for unit in pool if unit not in trial])
+                one, two = self._two_choices(now, rq, trial), self._two_choices(now, rq, others)
                 due = self.i.chance.below(len(pool)) < len(trial)
                 return one if due and self._cost(now, one) <= TRIAL_DEARER * self._cost(now, two) else two
         return self._two_choices(now, rq, pool)
@@ -342,8 +313,6 @@
                 self._set_aside(now, late.unit)
                 self.out.append((face.CANCEL, rq.id, late.number))
 
-    # what outcomes tell of units
-
     def _aside(self, now: int, rq: Req, unit: Unit) -> bool:
         if unit.aside_until > now:
             return True
@@ -359,16 +328,17 @@
             unit.unanswered = now if unit.open else None
         if done.build != unit.build or status == face.UNSENT:
             return
+        if status != face.CANCELLED:
+            unit.failing += FAIL_GAIN * ((not good) - unit.failing)
+            unit.clean = (unit.clean % CLEAN_WRAP + 1) * good
+            unit.seen, unit.failed = unit.seen * SEEN_FADE + 1, unit.failed * SEEN_FADE + (not good)
+        self._count(now, rq, done, status, lag)
         if status == face.CANCELLED:
-            return self._count(now, rq, done, status, lag)
-        unit.failing += FAIL_GAIN * ((not good) - unit.failing)
-        unit.clean = (unit.clean % CLEAN_WRAP + 1) * good
-        unit.seen, unit.failed = unit.seen * SEEN_FADE + 1, unit.failed * SEEN_FADE + (not good)
+            return
         if good or status == face.TIMEOUT:
             i.strain += STRAIN_GAIN * (min(lag / rq.route.objective, STRAIN_CLIP) - i.strain)
-        pace = lag / i.typical[rq.place]
-        if not good and not self._on_trial(unit.build):
-            pace = max(PACE_OF_FAILURE, pace)
+        blamed = not good and not self._on_trial(unit.build)
+        pace = max(lag / i.typical[rq.place], PACE_OF_FAILURE if blamed else 0.0)
         unit.pace += PACE_GAIN * (pace - unit.pace)
         if good:
             i.typical[rq.place] += PACE_GAIN / 4 * (lag - i.typical[rq.place])
@@ -376,11 +346,9 @@
             i.answered.add(now)
             if self.s.keys_stay and rq.key is not None and self._on_trial(done.build):
                 i.keys[rq.key] = done.build
-        elif status in (face.UNREACHED, face.TIMEOUT) or (
-                unit.failing > ASIDE_FAILING and not self._on_trial(unit.build)):
+        elif status in (face.UNREACHED, face.TIMEOUT) or (unit.failing > ASIDE_FAILING and blamed):
             # Errors of a build on trial are the judge's to weigh: setting its machines aside would starve it.
             self._set_aside(now, unit)
-        self._count(now, rq, done, status, lag)
 
     def _set_aside(self, now: int, unit: Unit) -> None:
         resting = sum(one.aside_until > now for one in self.i.ready)
@@ -405,12 +373,10 @@
 
     def _open_case(self, build: int) -> None:
         i = self.i
-        if i.case is not None and build <= i.case.build:
-            return
-        if i.case is not None and i.news is not None and i.news.standing == face.RELEASED:
-            i.base = i.newer
-        i.newer = [Sums() for _ in self.s.routes]
-        i.case = Case(build, sum(unit.build < build for unit in i.ready), len(i.newer), self._start())
+        if i.case is None or build > i.case.build:
+            i.base = i.newer if i.news and i.news.standing == face.RELEASED else i.base
+            i.newer = [Sums() for _ in self.s.routes]
+            i.case = Case(build, sum(unit.build < build for unit in i.ready), len(i.newer), self._start())
 
     def _count(self, now: int, rq: Req, done: Try, status: str, lag: int) -> None:
         """An outcome as evidence, but for connections that failed or broke. A time-out tells of latency."""
@@ -427,11 +393,10 @@
         elif not (failed and self._machine_to_blame(now, done.unit)):
             for sums in (case.own[rq.place], i.newer[rq.place]):
                 sums.add(1, failed, timed, logs, logs * logs)
-            self._weigh(case, rq.place, 1, failed, timed, logs, 0)
+            self._weigh(rq.place, 1, failed, timed, logs)
 
     def _machine_to_blame(self, now: int, unit: Unit) -> bool:
-        """Told from the build's: many fellows as old as it are surely sound; where it has none, a machine of
-        the earlier build fails too."""
+        """Many fellows as old as it are surely sound; without any, an earlier build's machine fails too."""
         fellows = [self._told(now, one) for one in self._machines(unit.build)
                    if one is not unit and one.since <= unit.since + SAME_AGE]
         if fellows:
@@ -442,10 +407,9 @@
     def _usual(self, place: int) -> tuple[float, float]:
         """Mean and spread of log latency at the earlier build; zeros while too little is known."""
         base = self.i.base[place]
-        if base.timed < BASE_ENOUGH:
-            return 0.0, 0.0
-        mean = base.logs / base.timed
-        return mean, max(SPREAD_FLOOR, math.sqrt(max(base.squares / base.timed - mean * mean, 0.0)))
+        mean = base.logs / max(base.timed, 1)
+        spread = max(SPREAD_FLOOR, math.sqrt(max(base.squares / max(base.timed, 1) - mean * mean, 0.0)))
+        return (mean, spread) if base.timed >= BASE_ENOUGH else (0.0, 0.0)
 
     def _machines(self, build: int) -> list[Unit]:
         return [unit for unit in self.i.ready if unit.build == build]
@@ -457,17 +421,16 @@
         unlike = sum((pace - mean) ** 2 for pace in paces) / max(len(paces) - 1, 1)
         return max(unlike - UNLIKE_NOISE, UNLIKE_FLOOR)
 
-    def _steps(self, place: int, count: int, failed: int, timed: int, logs: float,
-               complaints: int) -> list[float]:
+    def _steps(self, place: int, count: int, failed: int, timed: int, logs: float, wrong: int) -> list[float]:
         """For each member, log fi - log f0 of one outcome of a batch at its mean, or of complaints."""
         base = self.i.base[place]
         fail0 = max(FAIL_FLOOR, (base.failed + FAIL_FLOOR) / (base.count + 1))
         mean, spread = self._usual(place)
-        # The paper assumes independent outcomes; those of one machine hang together, and a sick one or its
-        # neighbour would pass for a slow build: a machine's latencies count as no more than a few outcomes.
+        # The paper assumes independent outcomes, but a machine's hang together, and a sick one would pass for
+        # a slow build: a machine's latencies count as no more than a few outcomes.
         most = spread * spread / self._unlike() * max(len(self._machines(self.i.case.build)), 1)
         temper = (most / (most + self.i.case.timed)) ** 2 if most else 0.0
-        steps, part = [], failed / count if count else 0.0
+        steps, part = [], failed / max(count, 1)
         for kind, where, strength, _ in self.members:
             step = 0.0
             if kind == FAILING and count and where in (None, place):
@@ -477,16 +440,14 @@
                 away = min(max((logs / timed - mean) / spread, -SPREAD_CLIP), SPREAD_CLIP)
                 step = temper * timed / count * strength / spread * (away - strength / spread / 2)
             elif kind == WRONG:
-                wrong1 = strength + FALSE_COMPLAINTS
-                step = complaints * math.log(wrong1 / FALSE_COMPLAINTS) + (count > 0) * math.log(
-                    (1 - wrong1) / (1 - FALSE_COMPLAINTS))
+                wrong0, wrong1 = FALSE_COMPLAINTS, strength + FALSE_COMPLAINTS
+                step = wrong * math.log(wrong1 / wrong0) + (count > 0) * math.log((1 - wrong1) / (1 - wrong0))
             steps.append(step)
         return steps
 
-    def _weigh(self, case: Case, place: int, count: int, failed: int, timed: int, logs: float,
-               complaints: int) -> None:
+    def _weigh(self, place: int, count: int, failed: int, timed: int, logs: float, wrong: int = 0) -> None:
         """The recursion, a batch counting as `count` outcomes at its mean; in logarithms, normalised."""
-        steps, weights = self._steps(place, count, failed, timed, logs, complaints), case.weights
+        steps, weights = self._steps(place, count, failed, timed, logs, wrong), self.i.case.weights
         change, stay = math.log(CHANGE), math.log(1 - CHANGE)
         for _ in range(max(count, 1)):
             sound = weights[0]
@@ -494,11 +455,10 @@
             for weight, step, (*_, prior) in zip(weights[1:], steps, self.members, strict=True):
                 new = change + math.log(prior) + sound
                 gained.append(max(weight, new) + math.log1p(math.exp(-abs(weight - new))) + step)
-            top = max(gained)
-            total = top + math.log(sum(math.exp(one - top) for one in gained))
+            total = max(gained) + math.log(sum(math.exp(one - max(gained)) for one in gained))
             weights[:] = [one - total for one in gained]
-        case.counted += count
-        case.timed += timed
+        self.i.case.counted += count
+        self.i.case.timed += timed
 
     def _posteriors(self) -> dict[str, float]:
         found = dict.fromkeys([kind for kind, *_ in self.members], 0.0)
@@ -509,9 +469,8 @@
     # votes
 
     def _voters(self, build: int) -> list[int]:
-        def rank(relay: int) -> int:
-            return (build * 2654435761 + relay * 40503 + 1) * 2246822519 % (1 << 32)
-        return sorted(range(self.s.relays), key=rank)[:self.s.votes_back + VOTERS_SPARE]
+        ranked = sorted(range(self.s.relays), key=lambda relay: hashed(build, relay))
+        return ranked[:self.s.votes_back + VOTERS_SPARE]
 
     def _consider_vote(self, now: int) -> None:
         i, s, vote, news = self.i, self.s, self.i.vote, self.i.news
@@ -537,10 +496,9 @@
         if news.standing in (face.ON_TRIAL, face.RELEASED) and any(
                 part > 1 / (1 + ODDS) and not (alone and kind == SLOW) for kind, part in found.items()):
             return face.VOTE_BACK
-        if news.standing != face.ON_TRIAL:
-            return face.NO_VOTE
-        if self.s.control == known.CLOCKED:
-            return face.VOTE_HOLD if max(found.values()) >= CALM else face.NO_VOTE
+        if news.standing != face.ON_TRIAL or self.s.control == known.CLOCKED:
+            hold = news.standing == face.ON_TRIAL and max(found.values()) >= CALM
+            return face.VOTE_HOLD if hold else face.NO_VOTE
         ran = now - max(machines, default=now)
         alone = alone and ran >= 3 * RUN_BEFORE_ON
         calm = all(part < CALM or (alone and kind == SLOW) for kind, part in found.items())
@@ -549,8 +507,6 @@
         enough = self.i.case.counted >= ENOUGH or ran >= 2 * RUN_BEFORE_ON
         return face.VOTE_ON if calm and there and enough and ran >= RUN_BEFORE_ON else face.NO_VOTE
 
-    # peers and the directory
-
     def _ask(self, now: int) -> None:
         if 0 < self.i.ask_at <= now:
             self.i.ask_at = 0
@@ -563,8 +519,7 @@
             loads = [(unit.id, unit.open, unit.seen, unit.failed, unit.clean) for unit in i.ready]
             self.out.append((face.TELL, "all", messages.pack_loads(loads)))
         if case and self.s.may_tell and i.told_at % TELL_BEATS == 0:
-            epoch = i.started // 1000 % (1 << 32)
-            bodies = messages.pack_sums(epoch, i.told_at, case.build, case.complained, case.rows())
+            bodies = messages.pack_sums(i.epoch, i.told_at, case.build, case.complained, case.rows())
             voters = [relay for relay in self._voters(case.build) if relay != self.s.me]
             self.out += [(face.TELL, relay, body) for relay in voters for body in bodies]
 
@@ -577,6 +532,6 @@
             i.base[place].add(*earlier)
             if count > 0:
                 i.newer[place].add(count, failed, timed, logs, logs * logs / max(timed, 1))
-                self._weigh(case, place, count, failed, timed, logs, 0)
+                self._weigh(place, count, failed, timed, logs)
         if complained > 0:
-            self._weigh(case, 0, 0, 0, 0, 0.0, complained)
+            self._weigh(0, 0, 0, 0, 0.0, complained)
--- a/laurelcourse/state.py
+++ b/laurelcourse/state.py
@@ -87,6 +87,11 @@
         self.zone, self.cell, self.build, self.health = entry.zone, entry.cell, entry.build, entry.health
         self.size, self.since = entry.size, entry.since
 
+    def begin(self, now: int) -> None:
+        self.open += 1
+        self.sends.add(now)
+        self.unanswered = now if self.unanswered is None else self.unanswered
+
 
 class Sums:
     """Outcomes of one route: how many, how many failed, how many timed, log latency summed and squared."""
@@ -160,7 +165,7 @@
 
 class Instance:
     def __init__(self, seed: int, now: int, routes: int) -> None:
-        self.chance, self.started = Chance(seed), now
+        self.chance, self.epoch = Chance(seed), now // 1000 % (1 << 32)
         self.units: dict[int, Unit] = {}
         self.ready: list[Unit] = []
         self.reqs: dict[str, Req] = {}
