--- a/laurelcourse/rules.py
+++ b/laurelcourse/rules.py
@@ -31,7 +31,7 @@
 FAIL_ALL, FAIL_ROUTE, WRONG_SHARE = 0.15, 0.5, 0.1
 SLOWER, SPREAD_FLOOR, SPREAD_CLIP = math.log(2.5), 0.5, 1.5
 BASE_ENOUGH, ENOUGH, BASE_HALVES = 8, 12, 4_000_000
-UNLIKE_NOISE, UNLIKE_FLOOR, SURE, SOUND_FELLOWS, SAME_AGE = 0.05, 0.12, 0.1, 0.3, 1_000_000
+UNLIKE_NOISE, UNLIKE_FLOOR, SOUND_SEEN, SOUND_FELLOWS, SAME_AGE = 0.05, 0.12, 30, 0.3, 1_000_000
 RUN_BEFORE_ON, VOTERS_SPARE, BEATS, TELL_BEATS = 3_250_000, 2, 10, 5
 # routing, health and shedding; shares are of the latency objective
 FAR_AFTER, FAR_BETTER, SILENT_AFTER, TRIAL_DEARER = 0.5, 2.0, 0.4, 4.0
@@ -400,7 +400,7 @@
         fellows = [self._told(now, one) for one in self._machines(unit.build)
                    if one is not unit and one.since <= unit.since + SAME_AGE]
         if fellows:
-            sound = sum(failed < 1 and (1 - unit.failing) ** seen < SURE for _, seen, failed, _ in fellows)
+            sound = sum(seen >= SOUND_SEEN and bad < 2 * FAIL_FLOOR * seen for _, seen, bad, _ in fellows)
             return sound >= SOUND_FELLOWS * len(fellows)
         return any(self._told(now, one)[2] >= FAILS_TOO for one in self.i.ready if one.build < unit.build)
 
