--- a/laurelcourse/rules.py
+++ b/laurelcourse/rules.py
@@ -396,12 +396,12 @@
             self._weigh(rq.place, 1, failed, timed, logs)
 
     def _machine_to_blame(self, now: int, unit: Unit) -> bool:
-        """Many fellows as old as it are surely sound; without any, an earlier build's machine fails too."""
+        """Fellows as old as it are sound; while none is known well, an earlier build's machine fails too."""
         fellows = [self._told(now, one) for one in self._machines(unit.build)
                    if one is not unit and one.since <= unit.since + SAME_AGE]
-        if fellows:
-            sound = sum(seen >= SOUND_SEEN and bad < 2 * FAIL_FLOOR * seen for _, seen, bad, _ in fellows)
-            return sound >= SOUND_FELLOWS * len(fellows)
+        sound = [bad < 2 * FAIL_FLOOR * seen for _, seen, bad, _ in fellows if seen >= SOUND_SEEN]
+        if sound:
+            return sum(sound) >= SOUND_FELLOWS * len(sound)
         return any(self._told(now, one)[2] >= FAILS_TOO for one in self.i.ready if one.build < unit.build)
 
     def _usual(self, place: int) -> tuple[float, float]:
