--- a/laurelcourse/rules.py
+++ b/laurelcourse/rules.py
@@ -399,7 +399,7 @@
         """Fellows as old as it are sound; while none is known well, an earlier build's machine fails too."""
         fellows = [self._told(now, one) for one in self._machines(unit.build)
                    if one is not unit and one.since <= unit.since + SAME_AGE]
-        sound = [bad < 2 * FAIL_FLOOR * seen for _, seen, bad, _ in fellows if seen >= SOUND_SEEN]
+        sound = [bad <= max(1.0, 2 * FAIL_FLOOR * seen) for _, seen, bad, _ in fellows if seen >= SOUND_SEEN]
         if sound:
             return sum(sound) >= SOUND_FELLOWS * len(sound)
         return any(self._told(now, one)[2] >= FAILS_TOO for one in self.i.ready if one.build < unit.build)
