--- a/laurelcourse/rules.py
+++ b/laurelcourse/rules.py
@@ -67,8 +67,8 @@
         rq = self.i.reqs[req] = Req(req, self.s.routes[place], place, key, now, now + left)
         self.i.took[self.scopes[place]].add(now)
         self.i.retries = min(self.i.retries + RETRY_SHARE, RETRY_STORE)
-        room = self.i.limit * (rq.route.earnings / self.top) ** EARNINGS_BEND
-        self._try_or_end(now, rq, self.i.open < room)
+        fits = self.i.open < self.i.limit * (rq.route.earnings / self.top) ** EARNINGS_BEND
+        self._try_or_end(now, rq, fits)
         return self._results()
 
     def outcome(self, now: int, req: str, number: int, unit: int, status: str, lag: int, last: bool,
@@ -399,7 +399,8 @@
         """Fellows as old as it are sound; while none is known well, an earlier build's machine fails too."""
         fellows = [self._told(now, one) for one in self._machines(unit.build)
                    if one is not unit and one.since <= unit.since + SAME_AGE]
-        sound = [bad <= max(1.0, 2 * FAIL_FLOOR * seen) for _, seen, bad, _ in fellows if seen >= SOUND_SEEN]
+        most = 1.0 if unit.failing > ASIDE_FAILING else 0.0
+        sound = [bad <= max(most, 2 * FAIL_FLOOR * seen) for _, seen, bad, _ in fellows if seen >= SOUND_SEEN]
         if sound:
             return sum(sound) >= SOUND_FELLOWS * len(sound)
         return any(self._told(now, one)[2] >= FAILS_TOO for one in self.i.ready if one.build < unit.build)
@@ -490,8 +491,8 @@
         self.out += [(face.VOTE, news.build, news.stage, verdict), (face.NOTE, note)]
 
     def _verdict(self, now: int, news: News) -> int:
-        machines = [unit.since for unit in self._machines(news.build)]
-        found, alone = self._posteriors(), len(machines) < 2
+        machines, found = [unit.since for unit in self._machines(news.build)], self._posteriors()
+        alone = len(machines) < 2
         # One machine's slowness can't tell it from the build: it holds for a while, then a second one is due.
         if news.standing in (face.ON_TRIAL, face.RELEASED) and any(
                 part > 1 / (1 + ODDS) and not (alone and kind == SLOW) for kind, part in found.items()):
@@ -508,9 +509,8 @@
         return face.VOTE_ON if calm and there and enough and ran >= RUN_BEFORE_ON else face.NO_VOTE
 
     def _ask(self, now: int) -> None:
-        if 0 < self.i.ask_at <= now:
-            self.i.ask_at = 0
-            self.out.append((face.WATCH,))
+        self.out += [(face.WATCH,)] if 0 < self.i.ask_at <= now else []
+        self.i.ask_at *= self.i.ask_at > now
 
     def _tell(self, now: int) -> None:
         i, case = self.i, self.i.case
