Shed a route that is late everywhere; count a failure once the other build answered

Voters now tell each route's usual latency as a multiple of its objective; a relay that hears from two of them that the worst route is past it tries a tenth of it. It also covers a route that hangs on something behind all units; it harms when all routes are late: the worst is cut first.

A failure on trial is now weighed once the req ended elsewhere: failed at both builds, it tells against itself. Retries no longer go to the build on trial: what all relays retry floods its few machines.

--- a/laurelcourse/messages.py
+++ b/laurelcourse/messages.py
@@ -2,7 +2,6 @@
 
 import math
 import struct
-from collections.abc import Iterable
 from typing import NamedTuple
 
 VERSION, SUMS, LOADS, WORD = 2, 1, 2, 3
@@ -27,13 +26,15 @@
 
 
 class Word(NamedTuple):
-    """What a hashed voter makes of the pool: posteriors by kind, and the outcomes they rest on."""
+    """What a hashed voter makes of the pool: posteriors by kind, the outcomes they rest on, and each
+    route's usual latency as a multiple of its objective."""
 
     epoch: int
     number: int
     build: int
     counted: int
     posteriors: tuple[float, ...]
+    usual: tuple[float, ...]
 
 
 def byte(value: float) -> int:
@@ -53,10 +54,12 @@
             for first in range(0, len(rows), ROWS) or (0,)]
 
 
-def pack_word(epoch: int, number: int, build: int, counted: int, posteriors: Iterable[float]) -> bytes:
-    """Posteriors in parts of 255."""
-    head = OPINION.pack(VERSION, WORD, epoch, number, build, min(counted, COUNTED))
-    return head + bytes(byte(LARGEST * part) for part in posteriors)
+def pack_word(word: Word) -> bytes:
+    """Posteriors in parts of 255, latencies in eighths of a doubling of the objective, around 128."""
+    parts = [byte(LARGEST * part) for part in word.posteriors]
+    usual = [byte(128 + 8 * math.log2(one)) if one > 0 else 0 for one in word.usual]
+    head = OPINION.pack(VERSION, WORD, word.epoch, word.number, word.build, min(word.counted, COUNTED))
+    return head + bytes(parts + usual)
 
 
 def unpack(payload: bytes, routes: int) -> tuple[int, Told | Word | dict[int, list[int]]] | None:
@@ -69,7 +72,8 @@
         rows = {place: row for place, *row in ROW.iter_unpack(payload[HEAD.size:])}
         if all(place < routes and all(map(math.isfinite, row)) for place, row in rows.items()):
             return what, Told(*HEAD.unpack_from(payload)[2:], rows)
-    if what == WORD and size >= OPINION.size:
-        parts = tuple(part / LARGEST for part in payload[OPINION.size:])
-        return what, Word(*OPINION.unpack_from(payload)[2:], parts)
+    if what == WORD and size >= OPINION.size + routes:
+        parts = tuple(part / LARGEST for part in payload[OPINION.size:size - routes])
+        usual = tuple(2 ** ((one - 128) / 8) if one else 0.0 for one in payload[size - routes:])
+        return what, Word(*OPINION.unpack_from(payload)[2:], parts, usual)
     return None
--- a/laurelcourse/rules.py
+++ b/laurelcourse/rules.py
@@ -27,15 +27,15 @@
 PRIORS = {FAILING: 0.5, SLOW: 0.25, WRONG: 0.25}
 FAIL_FLOOR, FALSE_COMPLAINTS, FAIL_ALL, FAIL_ROUTE, WRONG_SHARE = 0.01, 0.005, 0.15, 0.5, 0.1
 SLOWER, SPREAD_FLOOR, SPREAD_CLIP = math.log(2.5), 0.5, 1.5
-BASE_ENOUGH, ENOUGH, BASE_HALVES, BEATS, TELL_BEATS, IDLE_BEATS = 8, 12, 4_000_000, 10, 5, 10
+BASE_ENOUGH, BASE_MOST, ENOUGH, BASE_HALVES, BEATS, TELL_BEATS, IDLE_BEATS = 8, 128, 12, 4_000_000, 10, 5, 10
 UNLIKE_NOISE, UNLIKE_FLOOR, SOUND_SEEN, SOUND_FELLOWS, SAME_AGE = 0.05, 0.12, 30, 0.3, 1_000_000
 RUN_BEFORE_ON, MOST_POOL, POOL_SPARE, WORD_LASTS, AGREED = 3_250_000, 2, 2, 4, 2
 # routing, health and shedding; shares are of the latency objective
-FAR_AFTER, FAR_DUE, CROSS_GAIN, FAR_BETTER, SILENT_AFTER, TRIAL_DEARER = 0.5, 0.2, 0.25, 2.0, 0.4, 4.0
+FAR_AFTER, FAR_DUE, CROSS_GAIN, FAR_BETTER, PACE_GAIN, PACE_OF_FAILURE = 0.5, 0.2, 0.25, 2.0, 0.2, 4.0
 STRAIN, STRAIN_GAIN, STRAIN_CLIP, LIMIT_FALL, LIMIT_RISE, EARNINGS_BEND = 0.5, 0.08, 1.5, 0.1, 1.02, 0.25
-RETRY_SHARE, RETRY_STORE, PACE_GAIN, FAIL_GAIN, PACE_OF_FAILURE = 0.2, 10.0, 0.2, 0.25, 4.0
 ASIDE_FAILING, RESTED_FAILING, SEEN_FADE, GOOD_ON_END, FAILS_TOO, CLEAN_WRAP = 0.3, 0.2, 0.97, 3, 2, 250
-COLD_SAFETY, ANSWERED_OVER, COME_BACK_SHARE, DRAWS, EVEN_TIMES, LOADS_LAST = 0.5, 4, 0.5, 4, 2, 1_000_000
+FAIL_GAIN, COLD_SAFETY, ANSWERED_OVER, COME_BACK_SHARE, DRAWS, LOADS_LAST = 0.25, 0.5, 4, 0.5, 4, 1_000_000
+SILENT_AFTER, TRIAL_DEARER, HOPELESS, HOPE, RETRY_SHARE, RETRY_STORE = 0.4, 4.0, 1.0, 0.1, 0.2, 10.0
 
 
 class Balancer(face.Decisions):
@@ -48,10 +48,9 @@
         self.scopes = [place if settings.cap_by_route else 0 for place in range(len(settings.routes))]
         self.beat = BEATS * settings.tick
         self.members = self._members()
-        self.priors = [prior for *_, prior in self.members]
+        self.kinds, self.priors = {one[0]: 0.0 for one in self.members}, [one[-1] for one in self.members]
         self.first = [math.log(1 - SUSPECT), *(math.log(SUSPECT * prior) for prior in self.priors)]
         self.few = settings.relays * self.beat < LOADS_LAST
-        # All relays together tell no more, however many they are.
         self.tell_every = max(TELL_BEATS * self.beat, settings.relays * settings.tick // 2)
         self.i.tell_at = now + self.i.chance.below(self.tell_every)
 
@@ -68,7 +67,7 @@
         self.i.retries = min(self.i.retries + RETRY_SHARE, RETRY_STORE)
         fits = self.i.open < self.i.limit * (rq.route.earnings / self.top) ** EARNINGS_BEND
         self.wake(now, self.beat)
-        self._try_or_end(now, rq, fits)
+        self._try_or_end(now, rq, fits and not self._hopeless(now, place))
         return self.results()
 
     def outcome(self, now: int, req: str, number: int, unit: int, status: str, lag: int, last: bool,
@@ -84,6 +83,11 @@
             # Further tries are a bounded share of the reqs: in an overload they would feed it.
             self.i.retries -= (may := self.i.retries >= 1)
             self._try_or_end(now, rq, may)
+        if rq.owed and (done is not rq.owed or rq.state == ENDED):
+            # A req that fails on both builds tells against itself, not against the build on trial.
+            if all(one.build == rq.owed.build or not one.failed for one in rq.tries):
+                self._count(rq, rq.owed, face.FAILED, 0)
+            rq.owed = None
         return self.results()
 
     def withdrawn(self, now: int, req: str) -> list[Result]:
@@ -113,7 +117,8 @@
         self.wake(now, self.beat * (1 if i.open or self.few or judging else IDLE_BEATS))
         self.out += [(face.WATCH,)] if 0 < i.ask_at <= now else []
         i.ask_at *= i.ask_at > now
-        i.fade(0.5 ** (beats * self.beat / BASE_HALVES), 4 * BASE_ENOUGH)
+        # More outcomes than these make a baseline no surer, only later to see what befalls all builds.
+        i.fade(0.5 ** (beats * self.beat / BASE_HALVES), 4 * BASE_ENOUGH, BASE_MOST)
         # Open tries are held to what is answered within the objective; what would be late is shed at once.
         change = (STRAIN / i.strain) ** LIMIT_FALL if i.strain > STRAIN else LIMIT_RISE
         i.usual_open += (i.open - i.usual_open) * min(beats * self.beat / LOADS_LAST, 1.0)
@@ -130,7 +135,7 @@
         what, told = (known_peer and messages.unpack(payload, len(self.s.routes))) or (None, None)
         if what == messages.SUMS and case and self.s.me in case.voters:
             self._hear(relay, told)
-        elif what == messages.WORD and case:
+        elif what == messages.WORD and case and len(told.posteriors) == len(self.kinds):
             case.take(now, relay, told)
         elif what == messages.LOADS:
             before = i.hear_loads(relay, now, told)
@@ -147,7 +152,6 @@
             counted = status == face.COUNTED
             vote.pause = 0 if counted else min(max(2 * vote.pause, self.beat), self.s.vote_life // 4)
             vote.said = vote.said if counted else None
-            # After a void vote the news that the vote lags behind is on its way.
             vote.not_before = now + (self.s.vote_timeout if status == face.VOID else vote.pause)
         if status == face.COUNTED:
             i.grouped, same = False, i.news is not None and i.news.build == build
@@ -163,8 +167,6 @@
             self._open_case(build)
         return self.results()
 
-    # `tally` is left unheeded: it samples outcomes that the relays' sums hold, and would count them twice.
-
     def complaint(self, now: int, unit: int, since: int, route: str) -> list[Result]:
         case, told = self.i.case, self.i.units.get(unit)
         if case and told and told.build == case.build and told.since < now - since:
@@ -188,6 +190,11 @@
             self._tries_at(unit.build, rq.place).add(now)
         self.out.append((face.SEND, rq.id, unit.id, rq.due - now))
 
+    def _hopeless(self, now: int, place: int) -> bool:
+        """A route that is late at all units holds places that others need: a few of its reqs find out."""
+        told = self.i.case and self.i.case.agreed(now - WORD_LASTS * self.tell_every, AGREED)
+        return bool(told) and told.usual[place] == max(told.usual) > HOPELESS and self.i.chance.share() > HOPE
+
     def _give_up(self, now: int, rq: Req) -> None:
         anywhere = rq.route.repeat == known.DEDUPED and rq.route.group == known.GROUP_ALL
         harmless = rq.route.repeat == known.RETRIABLE or anywhere or not rq.ran()
@@ -196,7 +203,6 @@
         self._become(rq, ENDED)
 
     def _may_send(self, now: int, rq: Req, unit: Unit) -> bool:
-        """The five rules, in their order."""
         s, route = self.s, rq.route
         if rq.state == ENDED or now >= rq.due - s.tick or len(rq.tries) >= s.max_tries:
             return False
@@ -260,16 +266,10 @@
         if not i.grouped:
             i.group(self._on_trial, self.s.zone if self.s.crossing_price else None)
         order, many = [i.others, i.trial], i.trial.many
-        if 0 < many < len(i.ready):
+        # A failed req goes to the earlier build; the few machines on trial can't take what all relays retry.
+        if 0 < many < len(i.ready) and not rq.tries:
             found, tried = self._posteriors(), i.news is not None and i.news.standing == face.ON_TRIAL
-            trusted = tried and found[FAILING] + found.get(WRONG, 0.0) < DOUBT
-            if rq.tries:
-                # A failed req is tried on the other build, and both outcomes count; but few machines on trial
-                # can't take what all relays' failing and silent units leave, and would pass for slow.
-                failed = rq.tries[-1].failed and not self._on_trial(rq.tries[-1].build)
-                if failed and trusted and i.chance.below(len(i.ready)) < many * EVEN_TIMES:
-                    order.reverse()
-            elif not trusted:
+            if not tried or found[FAILING] + found.get(WRONG, 0.0) >= DOUBT:
                 order = [i.whole] if rq.route.repeat == known.RETRIABLE else order
             elif (at := i.chance.below(len(i.ready))) < many and self._usable(now, rq, i.trial.at(at)):
                 # Machines on trial get their even part: more would queue and pass for slowness; less would
@@ -285,13 +285,13 @@
         # A full site answers late: its relays send a part elsewhere, as long as that is answered in time.
         cross = group.far and 0 < self.i.crossing > self.i.chance.share()
         near = None if cross else self._better(now, rq, group.near, thorough)
-        wait = self._cost(now, near) if near else 0.0
-        if near and wait * self.i.typical[rq.place] <= FAR_AFTER * rq.route.objective:
+        if near and self._cost(now, near) * self.i.typical[rq.place] <= FAR_AFTER * rq.route.objective:
             return near
         far = self._better(now, rq, group.far, thorough)
         if cross:
             return far or self._better(now, rq, group.near, thorough)
-        return far if far and (not near or self._cost(now, far) * FAR_BETTER < wait) else near
+        closer = near and far and self._cost(now, far) * FAR_BETTER >= self._cost(now, near)
+        return near if closer else far or near
 
     def _better(self, now: int, rq: Req, units: list[Unit], thorough: bool) -> Unit | None:
         """Two random choices among those that may and should serve; a full look only when draws fail."""
@@ -344,12 +344,14 @@
         unit.failing += FAIL_GAIN * ((not good) - unit.failing)
         unit.clean = (unit.clean % CLEAN_WRAP + 1) * good
         unit.seen, unit.failed = unit.seen * SEEN_FADE + 1, unit.failed * SEEN_FADE + (not good)
-        self._count(rq, done, status, lag)
+        if status == face.FAILED and self._on_trial(done.build):
+            rq.owed = done
+        else:
+            self._count(rq, done, status, lag)
         if good or status == face.TIMEOUT:
             i.strain += STRAIN_GAIN * (min(lag / rq.route.objective, STRAIN_CLIP) - i.strain)
         blamed = not good and not self._on_trial(unit.build)
-        pace = max(lag / i.typical[rq.place], PACE_OF_FAILURE if blamed else 0.0)
-        unit.pace += PACE_GAIN * (pace - unit.pace)
+        unit.pace += PACE_GAIN * (max(lag / i.typical[rq.place], PACE_OF_FAILURE * blamed) - unit.pace)
         if good:
             i.typical[rq.place] += PACE_GAIN / 4 * (lag - i.typical[rq.place])
             unit.aside_for = unit.aside_for * 3 // 4
@@ -380,10 +382,10 @@
         i = self.i
         if i.case is None or build > i.case.build:
             i.turn_over(i.news is not None and i.news.standing == face.RELEASED)
-            places = sum(unit.build < build for unit in i.ready)
             # The pool: few, however many relays there are, with spares for the dead and the cut off.
             ranked = sorted(range(self.s.relays), key=lambda relay: hashed(build, relay))
             voters = ranked[:min(self.s.votes_back, MOST_POOL) + POOL_SPARE]
+            places = sum(unit.build < build for unit in i.ready)
             i.case = Case(build, places, len(i.newer), self.first[:], voters)
 
     def _count(self, rq: Req, done: Try, status: str, lag: int) -> None:
@@ -451,7 +453,7 @@
     def _posteriors(self) -> dict[str, float]:
         parts = [(member[0], math.exp(weight)) for member, weight in zip(
             self.members, self.i.case.weights[1:], strict=True)]
-        return {kind: sum(part for one, part in parts if one == kind) for kind, _ in parts}
+        return {kind: sum(part for one, part in parts if one == kind) for kind in self.kinds}
 
     def _consider_vote(self, now: int) -> None:
         i, s, vote, news = self.i, self.s, self.i.vote, self.i.news
@@ -492,7 +494,6 @@
     def _tell(self, now: int) -> None:
         i, case, s = self.i, self.i.case, self.s
         i.told += 1
-        # Open tries told less often than they stay true are not told.
         if s.may_tell and self.few and i.told % s.relays == 0:
             loads = [(unit.id, unit.open, unit.seen, unit.failed, unit.clean) for unit in i.ready]
             self.out.append((face.TELL, "all", messages.pack_loads(loads)))
@@ -501,21 +502,20 @@
         i.tell_at = now + self.tell_every
         if case.changed:
             bodies = messages.pack_sums(i.epoch, i.told, case.build, case.complained, case.rows())
-            peers = [relay for relay in case.voters if relay != s.me]
-            self.out += [(face.TELL, relay, body) for relay in peers for body in bodies]
-        if s.me in case.voters and s.control != known.ANY:
-            word = (i.epoch, i.told, case.build, case.counted, self._posteriors().values())
-            self.out.append((face.TELL, "all", messages.pack_word(*word)))
+            self.out += [(face.TELL, one, body) for one in case.voters if one != s.me for body in bodies]
+        if s.me in case.voters:
+            late, parts = i.lateness(s.routes, BASE_ENOUGH), tuple(self._posteriors().values())
+            word = messages.Word(i.epoch, i.told, case.build, case.counted, parts, late)
+            self.out.append((face.TELL, "all", messages.pack_word(word)))
+            case.take(now, s.me, word)
 
     def _found(self, now: int) -> tuple[dict[str, float], int]:
         """Posteriors, and what they rest on: of two voters' words, while own outcomes are too few."""
         case, found = self.i.case, self._posteriors()
-        words = [word for at, word in case.words.values()
-                 if now - at < WORD_LASTS * self.tell_every and len(word.posteriors) == len(found)]
-        if self.s.me in case.voters or case.counted >= ENOUGH or len(words) < AGREED:
+        told = case.agreed(now - WORD_LASTS * self.tell_every, AGREED)
+        if self.s.me in case.voters or case.counted >= ENOUGH or told is None:
             return found, case.counted
-        second = [sorted(parts)[-AGREED] for parts in zip(*(word.posteriors for word in words), strict=True)]
-        return dict(zip(found, second, strict=True)), sorted(word.counted for word in words)[-AGREED]
+        return dict(zip(found, told.posteriors, strict=True)), told.counted
 
     def _hear(self, relay: int, told: messages.Told) -> None:
         i, case = self.i, self.i.case
--- a/laurelcourse/state.py
+++ b/laurelcourse/state.py
@@ -41,11 +41,12 @@
 
 
 class Req:
-    __slots__ = ("due", "id", "key", "place", "route", "state", "taken", "tries")
+    __slots__ = ("due", "id", "key", "owed", "place", "route", "state", "taken", "tries")
 
     def __init__(self, name: str, route: Route, place: int, key: int | None, taken: int, due: int) -> None:
         self.id, self.route, self.place, self.key, self.taken, self.due = name, route, place, key, taken, due
         self.state = NEW
+        self.owed: Try | None = None
         self.tries: list[Try] = []
 
     def out(self) -> bool:
@@ -175,6 +176,16 @@
         if word.build == self.build and relay in self.voters and newer:
             self.words[relay] = (now, word)
 
+    def agreed(self, since: int, voters: int) -> Word | None:
+        """What so many voters bear out of the words heard since then: of each figure, the last of theirs."""
+        words = [word for at, word in self.words.values() if at >= since]
+        if len(words) < voters:
+            return None
+        parts, usual = ([sorted(column)[-voters] for column in zip(*rows, strict=True)] for rows in (
+            [word.posteriors for word in words], [word.usual for word in words]))
+        counted = sorted(word.counted for word in words)[-voters]
+        return Word(0, 0, self.build, counted, tuple(parts), tuple(usual))
+
     def gain(self, relay: int, told: Told) -> tuple[int, list[tuple[int, list[float]]]]:
         """What a peer adds, complaints and sums by route: nothing if overtaken, all since a restart."""
         gained = []
@@ -273,13 +284,21 @@
         self.base = self.newer if released else self.base
         self.newer = [Sums() for _ in self.base]
 
-    def fade(self, factor: float, least: int) -> None:
-        """Lets what is known of latencies fade, but not what is too little already."""
+    def fade(self, factor: float, least: int, most: int) -> None:
+        """Lets what is known of outcomes fade to the most that counts, but not what is too little already."""
         if self.case:
             self.case.timed *= factor
         for sums in self.base + self.newer:
             if sums.count > least:
-                sums.fade(factor)
+                sums.fade(min(factor, most / sums.count))
+
+    def lateness(self, routes: tuple[Route, ...], least: int) -> tuple[float, ...]:
+        """Each route's usual latency at all builds, as a multiple of its objective; 0 if little is known."""
+        found = []
+        for old, new, route in zip(self.base, self.newer, routes, strict=True):
+            timed = old.timed + new.timed
+            found.append(math.exp((old.logs + new.logs) / timed) / route.objective if timed >= least else 0.0)
+        return tuple(found)
 
     def drop_loads(self, before: int) -> None:
         for relay in [relay for relay, (at, _) in self.loads.items() if at <= before]:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -218,3 +218,67 @@
             if told[0] == face.TELL:
                 one.one.peer(one.now, 1, told[2])
     assert 1 in {one.req()[-1][2] for _ in range(8)}
+
+
+@pytest.mark.parametrize("second, counted", [(face.OK, 1), (face.FAILED, 0)])
+def test_a_req_that_fails_on_both_builds_blames_neither(relay: type, second: str, counted: int) -> None:
+    one = relay(cap_free=1000)
+    one.list(*WARM, *((unit, "a", 6, 90) for unit in (7, 8, 9)))
+    one.news(6)
+    sent = ()
+    while not sent or sent[2] < 7:
+        sent = one.req()[-1]
+    again = one.end(sent, 0, face.FAILED)[-1]
+    assert again[2] < 7 and one.one.i.case.counted == 0
+    one.end(again, 1, second)
+    assert one.one.i.case.counted == counted
+
+
+@pytest.mark.parametrize("usual, voters, most", [
+    ((3.0, 0.5, 0.5), 2, 60), ((3.0, 0.5, 0.5), 1, 200), ((0.9, 0.5, 0.5), 2, 200)])
+def test_a_route_late_at_all_units_leaves_places_to_the_others(
+        relay: type, usual: tuple, voters: int, most: int) -> None:
+    one = relay(relays=300)
+    one.list(*WARM)
+    one.news(5, standing=2)
+    case = one.one.i.case
+    for voter in case.voters[:voters]:
+        word = messages.Word(1, 1, 5, 9, (0.1,) * len(one.one.kinds), usual)
+        one.one.peer(one.now, voter, messages.pack_word(word))
+    ends = {name: sum(verbs(one.req(name))[-1:] == [face.SEND] and not one.end(
+        one.one.i.reqs[f"r{one.made}"].tries[0].unit and (face.SEND, f"r{one.made}", 0), 0, face.OK, 1000)
+        for _ in range(200)) for name in ("read", "once")}
+    assert ends["once"] == 200 and ends["read"] <= most and ends["read"] > most // 20
+
+
+def test_a_full_site_sends_a_part_elsewhere_and_stops_when_that_is_late(relay: type) -> None:
+    one = relay(crossing_price=0.1, relays=300)
+    one.list(*WARM)
+    shares = []
+    for near, far in ((SECOND * 3 // 4, 20_000), (SECOND * 3 // 4, SECOND * 3 // 4), (20_000, 20_000)):
+        sent = []
+        for _ in range(60):
+            sent.append(one.req()[-1])
+            one.end(sent[-1], 0, face.OK, near if sent[-1][2] < 3 else far)
+        shares.append(sum(found[2] > 2 for found in sent[20:]) / 40)
+    assert shares[0] > 0.5 > shares[1] + 0.1 and shares[2] == 0
+
+
+def test_cold_machines_leave_their_part_to_the_earlier_build(relay: type) -> None:
+    one = relay(cap_free=1000, relays=300)
+    one.list(*WARM, (7, "a", 6, 90), *((unit, "a", 6, 0) for unit in range(8, 20)))
+    one.news(6)
+    sent = [one.req()[-1] for _ in range(300)]
+    assert sum(found[0] == face.SEND and found[2] == 7 for found in sent) < 300 / 17 * 2
+
+
+def test_a_relay_with_few_outcomes_goes_by_two_voters_words(relay: type) -> None:
+    one = relay(control="share", relays=300, votes_on=150, votes_back=100)
+    one.list(*WARM, (7, "a", 6, 1), (8, "a", 6, 1))
+    one.news(6, since=SECOND)
+    case, bad = one.one.i.case, (1.0, 0.0, 0.0)
+    for number, (voter, parts) in enumerate(((case.voters[0], bad), (0, bad), (case.voters[1], bad))):
+        assert face.VOTE not in verbs(one.wait(0.6))
+        word = messages.Word(1, 1 + number, 6, 40, parts, (0.1, 0.1, 0.1))
+        one.one.peer(one.now, voter, messages.pack_word(word))
+    assert (face.VOTE, 6, 0, face.VOTE_BACK) in one.wait(0.6)
