Only warm machines on trial say how far latencies may be trusted

Cause: a machine's latencies count as no more than a few outcomes, times the machines on trial; at size many of those are cold and give no latency, so that a few warm ones, one of them sick, could pass for a slow build.

--- a/laurelcourse/rules.py
+++ b/laurelcourse/rules.py
@@ -72,8 +72,7 @@
 
     def outcome(self, now: int, req: str, number: int, unit: int, status: str, lag: int, last: bool,
                 load: dict[str, float]) -> list[Result]:
-        rq = self.i.reqs[req]
-        done = rq.tries[number]
+        done = (rq := self.i.reqs[req]).tries[number]
         done.end(status)
         self.i.open -= 1
         self._learn(now, rq, done, status, lag)
@@ -426,7 +425,7 @@
         # The paper's outcomes are independent; a machine's hang together: they count as no more than a few.
         paces = [math.log(max(unit.pace, 0.1)) for unit in self.i.ready if unit.build < self.i.case.build]
         unlike = max(posterior.variance(paces) - UNLIKE_NOISE, UNLIKE_FLOOR)
-        most = spread * spread / unlike * max(len(self._machines(self.i.case.build)), 1)
+        most = spread * spread / unlike * max(self.i.case.warm, 1)
         temper = (most / (most + self.i.case.timed)) ** 2 if most else 0.0
         steps, part = [], failed / max(count, 1)
         for kind, where, strength, _ in self.members:
@@ -474,6 +473,7 @@
 
     def _verdict(self, now: int, news: News) -> int:
         machines = [unit.since for unit in self._machines(news.build)]
+        self.i.case.warm = sum(now - since >= self.s.warm_after for since in machines)
         found, counted = self._found(now)
         alone = len(machines) < 2
         # One machine's slowness can't tell it from the build: it holds for a while, then a second one is due.
--- a/laurelcourse/state.py
+++ b/laurelcourse/state.py
@@ -146,11 +146,11 @@
     """What is known of one build: the weights of the judge, and the sums told to the hashed voters."""
 
     __slots__ = ("build", "changed", "complained", "counted", "earlier", "heard", "own", "places", "timed",
-                 "voters", "weights", "words")
+                 "voters", "warm", "weights", "words")
 
     def __init__(self, build: int, places: int, routes: int, weights: list[float], voters: list[int]) -> None:
         self.build, self.places, self.weights, self.voters = build, places, weights, voters
-        self.counted = self.complained = 0
+        self.counted = self.complained = self.warm = 0
         self.timed = 0.0
         self.own = [Sums() for _ in range(routes)]
         self.earlier = [Sums() for _ in range(routes)]
