--- a/laurelcourse/rules.py
+++ b/laurelcourse/rules.py
@@ -79,7 +79,7 @@
         if last or rq.state == ENDED:
             self._become(rq, ENDED)
         elif not rq.out():
-            # Further tries are a bounded share of the reqs: in an overload they would feed it.
+            # Further tries are a bounded share of the reqs, lest they feed an overload.
             self.i.retries -= (may := self.i.retries >= 1)
             self._try_or_end(now, rq, may)
         if rq.owed and (done is not rq.owed or rq.state == ENDED):
@@ -383,9 +383,8 @@
             i.turn_over(i.news is not None and i.news.standing == face.RELEASED)
             # The pool: few, however many relays there are, with spares for the dead and the cut off.
             ranked = sorted(range(self.s.relays), key=lambda relay: hashed(build, relay))
-            voters = ranked[:min(self.s.votes_back, MOST_POOL) + POOL_SPARE]
-            places = sum(unit.build < build for unit in i.ready)
-            i.case = Case(build, places, len(i.newer), self.first[:], voters)
+            pool = ranked[:min(self.s.votes_back, MOST_POOL) + POOL_SPARE]
+            i.case = Case(build, sum(one.build < build for one in i.ready), len(i.newer), self.first[:], pool)
 
     def _count(self, rq: Req, done: Try, status: str, lag: int) -> None:
         """An outcome as evidence, but for connections that failed or broke. A time-out tells of latency."""
@@ -424,7 +423,8 @@
         mean, spread = base.usual(SPREAD_FLOOR) if base.timed >= BASE_ENOUGH else (0.0, 0.0)
         # The paper's outcomes are independent; a machine's hang together: they count as no more than a few.
         paces = [math.log(max(unit.pace, 0.1)) for unit in self.i.ready if unit.build < self.i.case.build]
-        unlike = max(posterior.variance(paces) - UNLIKE_NOISE, UNLIKE_FLOOR)
+        unlike = max(posterior.variance(paces) - UNLIKE_NOISE, UNLIKE_FLOOR,
+                     0.0 if self.few else spread ** 2 - SPREAD_FLOOR ** 2)  # too seldom seen to tell
         most = spread * spread / unlike * max(self.i.case.warm, 1)
         temper = (most / (most + self.i.case.timed)) ** 2 if most else 0.0
         steps, part = [], failed / max(count, 1)
