--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -282,3 +282,31 @@
         word = messages.Word(1, 1 + number, 6, 40, parts, (0.1, 0.1, 0.1))
         one.one.peer(one.now, voter, messages.pack_word(word))
     assert (face.VOTE, 6, 0, face.VOTE_BACK) in one.wait(0.6)
+
+
+@pytest.mark.parametrize("relays, alarms", [(3, True), (300, False)])
+def test_where_paces_are_unknown_the_spread_may_be_machines(relay: type, relays: int, alarms: bool) -> None:
+    one = relay(relays=relays).one
+    one._open_case(6)
+    one.i.case.warm = 4
+    for base in one.i.base:
+        base.add(100, 0, 100, 1100.0, 100 * (121.0 + 1.0))
+    for _ in range(60):
+        one._weigh(0, 1, 0, 1, 11.0 + 0.9)
+    assert (one._posteriors()[rules.SLOW] > 1 / (1 + rules.ODDS)) == alarms
+
+
+@pytest.mark.parametrize("sender, build, parts, kept", [
+    (0, 6, 3, True), (0, 7, 3, False), (0, 6, 2, False), (None, 6, 3, False), (300, 6, 3, False)])
+def test_a_word_is_taken_from_voters_alone_and_whole(
+        relay: type, sender: int | None, build: int, parts: int, kept: bool) -> None:
+    one = relay(relays=300)
+    one.list(*WARM, (7, "a", 6, 9))
+    one.news(6)
+    case = one.one.i.case
+    outside = next(number for number in range(300) if number not in case.voters)
+    voter = outside if sender is None else case.voters[0] if sender == 0 else sender
+    for number in (5, 4):
+        word = messages.Word(1, number, build, number, (0.5,) * parts, (0.1, 0.1, 0.1))
+        one.one.peer(one.now, voter, messages.pack_word(word))
+    assert [word.counted for _, word in case.words.values()] == ([5] if kept else [])
