A hurried client's time-out says nothing of the unit

It also covers a deadline nearly spent by earlier tries; it harms where a silent unit is met only by hurried clients.

--- a/laurelcourse/rules.py
+++ b/laurelcourse/rules.py
@@ -118,7 +118,6 @@
         i.ask_at *= i.ask_at > now
         # More outcomes than these make a baseline no surer, only later to see what befalls all builds.
         i.fade(0.5 ** (beats * self.beat / BASE_HALVES), 4 * BASE_ENOUGH, BASE_MOST)
-        # Open tries are held to what is answered within the objective; what would be late is shed at once.
         change = (STRAIN / i.strain) ** LIMIT_FALL if i.strain > STRAIN else LIMIT_RISE
         i.usual_open += (i.open - i.usual_open) * min(beats * self.beat / LOADS_LAST, 1.0)
         i.limit = max(2.0, min(i.limit * change ** beats, 2 * i.usual_open + 10.0))
@@ -338,8 +337,9 @@
             late = lag > FAR_AFTER * rq.route.objective
             change = late - FAR_DUE if unit.zone == self.s.zone else -2 * late
             i.crossing = min(max(i.crossing + CROSS_GAIN * change, 0.0), 1.0)
-        if status == face.CANCELLED:
-            return self._count(rq, done, status, lag)
+        # A time-out shorter than a usual answer tells of the client's patience, not of unit or build.
+        if status == face.CANCELLED or (status == face.TIMEOUT and lag < rq.route.objective / 2):
+            return None if status == face.TIMEOUT else self._count(rq, done, status, lag)
         unit.failing += FAIL_GAIN * ((not good) - unit.failing)
         unit.clean = (unit.clean % CLEAN_WRAP + 1) * good
         unit.seen, unit.failed = unit.seen * SEEN_FADE + 1, unit.failed * SEEN_FADE + (not good)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -310,3 +310,12 @@
         word = messages.Word(1, number, build, number, (0.5,) * parts, (0.1, 0.1, 0.1))
         one.one.peer(one.now, voter, messages.pack_word(word))
     assert [word.counted for _, word in case.words.values()] == ([5] if kept else [])
+
+
+@pytest.mark.parametrize("lag, aside", [(SECOND // 4, False), (SECOND, True)])
+def test_a_hurried_clients_time_out_says_nothing_of_the_unit(relay: type, lag: int, aside: bool) -> None:
+    one = relay()
+    one.list(*WARM)
+    sent = one.req()[-1]
+    one.end(sent, 0, face.TIMEOUT, lag, last=True)
+    assert (one.one.i.units[sent[2]].aside_until > one.now) == aside
