--- /dev/null
+++ b/laurelcourse/__main__.py
@@ -0,0 +1,3 @@
+from laurelcourse.cli import main
+
+main(prog_name="laurelcourse")
--- a/laurelcourse/benchlink/decode.py
+++ b/laurelcourse/benchlink/decode.py
@@ -6,10 +6,8 @@
 
 from laurelcourse import interface as face
 from laurelcourse.benchlink.framing import Message, WireError
-from laurelcourse.settings import ANY, CLOCKED, DEDUPED, NON_RETRIABLE, RETRIABLE, SHARE, Route, Settings
+from laurelcourse.settings import Settings, SettingsError, decode
 
-REPEATS = {"idempotent": RETRIABLE, "deduplicated": DEDUPED, "at_most_once": NON_RETRIABLE}
-CONTROLS = {"single": ANY, "majority": SHARE, "clocked": CLOCKED}
 STATUSES = {"done": face.OK, "err": face.FAILED, "busy": face.BUSY, "etimedout": face.TIMEOUT,
             "econnrefused": face.UNREACHED, "econnreset": face.RESET, "ecanceled": face.CANCELLED,
             "skipped": face.UNSENT}
@@ -27,69 +25,35 @@
     return words[word]
 
 
-class Pairs:
-    """The settings of one instance, read by path."""
+def nested(fields: dict[str, str]) -> dict:
+    """Paths with their values as a tree; what stands under numbers, with a count, is a list."""
+    root: dict = {}
+    for path, value in fields.items():
+        at, *steps = path.split(".")
+        branch = root
+        for step in steps:
+            branch, at = branch.setdefault(at, {}), step
+            if not isinstance(branch, dict):
+                raise ValueError(path)
+        branch[at] = value
+    return listing(root)
 
-    def __init__(self, message: Message) -> None:
-        self.message = message
 
-    def text(self, path: str) -> str:
-        return self.message.text(path)
-
-    def flag(self, path: str) -> bool:
-        return self.text(path) in ("true", "1")
-
-    def micros(self, path: str) -> int:
-        return self.message.micros(path)
-
-    def number(self, path: str) -> float:
-        return self.message.number(path)
-
-    def whole(self, path: str) -> int:
-        return round(self.message.number(path))
-
-    def numbers(self, path: str) -> tuple[float, ...]:
-        try:
-            return tuple(float(part) for part in self.text(path).split(",") if part)
-        except ValueError:
-            raise self.message.unreadable(path) from None
-
-    def one_of(self, path: str, words: dict[str, str]) -> str:
-        return one_of(self.message, path, words)
-
-
-def route(pairs: Pairs, place: int) -> Route:
-    at = f"classes.{place}."
-    return Route(
-        name=pairs.text(at + "name"), objective=pairs.micros(at + "aim"),
-        timeout=pairs.micros(at + "deadline"), earnings=pairs.number(at + "worth"),
-        late_share=pairs.number(at + "late_share"), repeat=pairs.one_of(at + "effect", REPEATS),
-        group=pairs.text(at + "group"), memory=pairs.micros(at + "memory_span"))
+def listing(branch: dict) -> dict | list:
+    kept = {name: listing(value) if isinstance(value, dict) else value for name, value in branch.items()}
+    count = kept.get("count")
+    if isinstance(count, str) and count.isdecimal():
+        return [kept[place] for place in map(str, range(int(count))) if place in kept]
+    return kept
 
 
 def settings(message: Message) -> Settings:
-    pairs = Pairs(message)
-    return Settings(
-        me=pairs.whole("me"), relays=pairs.whole("balancers"), zone=pairs.text("locality"),
-        routes=tuple(route(pairs, place) for place in range(pairs.whole("classes.count"))),
-        tick=pairs.micros("tick"), max_tries=pairs.whole("limits.max_attempts"),
-        may_duplicate=pairs.flag("limits.may_duplicate"), may_probe=pairs.flag("limits.probes"),
-        may_tell=pairs.flag("limits.peer_messages"), may_name_return=pairs.flag("limits.retry_after"),
-        longest_return=pairs.micros("limits.max_retry_after"), must_ask=pairs.text("discovery") == "ask",
-        ask_within=pairs.micros("obligations.must_ask_in"),
-        drain_grace=pairs.micros("obligations.stop_sending_within"),
-        cold_share=pairs.number("obligations.start_capacity"),
-        warm_after=pairs.micros("obligations.warm_after"),
-        overload_factor=pairs.number("obligations.overload_factor"),
-        tip_after=pairs.micros("obligations.tip_after"),
-        cap_by_route=pairs.text("domain.cap_scope") == "per_lane", cap_free=pairs.number("domain.free"),
-        cap_window=pairs.micros("domain.counted_over"), stage_caps=pairs.numbers("domain.most_shares"),
-        stage_shares=pairs.numbers("domain.rings"), shielded=pairs.whole("domain.shielded"),
-        keys_stay=pairs.flag("domain.keys_stay"), control=pairs.one_of("domain.decided_by", CONTROLS),
-        bake=pairs.micros("domain.least_stage"), vote_life=pairs.micros("domain.ballot_ttl"),
-        vote_timeout=pairs.micros("domain.api_timeout"), votes_on=pairs.whole("domain.to_advance"),
-        votes_back=pairs.whole("domain.back_votes"), complaint_share=pairs.number("domain.complaint_share"),
-        crossing_price=pairs.number("prices.cross_zone"))
+    try:
+        return decode(nested(message.fields))
+    except SettingsError as error:
+        raise WireError(f"line {message.line}: {message.name} {error}") from None
+    except ValueError as error:
+        raise message.unreadable(str(error)) from None
 
 
 def load(message: Message) -> dict[str, float]:
--- a/laurelcourse/benchlink/framing.py
+++ b/laurelcourse/benchlink/framing.py
@@ -13,13 +13,12 @@
 
 
 class Message:
-    __slots__ = ("entries", "fields", "line", "name", "pairs")
+    __slots__ = ("entries", "fields", "line", "name")
 
     def __init__(self, text: str, line: int) -> None:
         parts = text.split(TAB)
         self.name, self.line = parts[0], line
         self.fields: dict[str, str] = {}
-        self.pairs: dict[str, str] = {}
         self.entries: list[Message] = []
         for part in parts[1:]:
             name, equals, value = part.partition("=")
--- /dev/null
+++ b/laurelcourse/net/connection.py
@@ -0,0 +1,140 @@
+"""A stream socket with one buffer for what it reads: read, write, deadline, close."""
+
+import errno
+import socket
+
+from laurelcourse.net.limits import Limits
+from laurelcourse.net.scheduler import IO, LATE, MAIL, READ, WRITE, Mailbox, Scheduler
+
+GOT, ENDED, FULL = "got", "ended", "full"
+
+
+class Buffer:
+    """Grows as it needs, is compacted in place, and shrinks once a large message has gone."""
+
+    def __init__(self, usual: int, most: int) -> None:
+        self.usual, self.most = usual, most
+        self.data = bytearray(usual)
+        self.start = self.end = 0
+
+    def __len__(self) -> int:
+        return self.end - self.start
+
+    def room(self) -> memoryview:
+        """Free space behind the bytes; empty when the buffer holds its most."""
+        if self.start == self.end:
+            self.start = self.end = 0
+            if len(self.data) > self.usual:
+                self.data = bytearray(self.usual)
+        if self.end == len(self.data) and self.start:
+            held = len(self)
+            self.data[:held] = self.data[self.start:self.end]
+            self.start, self.end = 0, held
+        if self.end == len(self.data):
+            self.data.extend(bytes(min(len(self.data), self.most - len(self.data))))
+        return memoryview(self.data)[self.end:]
+
+    def skip(self, count: int) -> None:
+        self.start += count
+
+    def take(self) -> bytes:
+        taken, self.start = bytes(self.data[self.start:self.end]), self.end
+        return taken
+
+
+class Connection:
+    def __init__(self, scheduler: Scheduler, sock: socket.socket, limits: Limits) -> None:
+        self.scheduler, self.sock, self.limits = scheduler, sock, limits
+        self.fd = sock.fileno()
+        self.buffer = Buffer(limits.buffer_usual, limits.buffer_most)
+        self.open = True
+        sock.setblocking(False)
+
+    @classmethod
+    def connect(cls, scheduler: Scheduler, address: tuple[str, int], limits: Limits,
+                until: int) -> "Connection | None":
+        try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        except OSError:
+            return None
+        conn = cls(scheduler, sock, limits)
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            failed = sock.connect_ex(address)
+            if failed == errno.EINPROGRESS and scheduler.wait(conn.fd, WRITE, until=until) == IO:
+                failed = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        except OSError as error:
+            failed = error.errno or errno.EIO
+        if failed:
+            conn.close()
+            return None
+        return conn
+
+    def read(self, until: int | None = None, box: Mailbox | None = None) -> str:
+        """Waits for bytes or mail: GOT, MAIL, LATE, ENDED, or FULL when the buffer holds its most."""
+        if not self.open:
+            return ENDED
+        with self.buffer.room() as room:
+            if not room:
+                return FULL
+        reason = self.scheduler.wait(self.fd, READ, box, until)
+        if reason in (MAIL, LATE):
+            return reason
+        return self.read_now()
+
+    def read_now(self) -> str:
+        """Takes what is there without waiting; LATE if nothing is."""
+        if not self.open:
+            return ENDED
+        with self.buffer.room() as room:
+            try:
+                count = self.sock.recv_into(room) if room else 0
+            except BlockingIOError:
+                return LATE
+            except OSError:
+                return ENDED
+        self.buffer.end += count
+        return GOT if count else ENDED
+
+    def write(self, data: bytes, until: int | None = None) -> bool:
+        """Whether the last byte was written."""
+        view = memoryview(data)
+        while view and self.open:
+            try:
+                view = view[self.sock.send(view):]
+            except BlockingIOError:
+                if self.scheduler.wait(self.fd, WRITE, until=until) == LATE:
+                    return False
+            except OSError:
+                return False
+        return not view
+
+    def clean(self) -> bool:
+        """Nothing unread, and not closed by the other side."""
+        if not self.open or len(self.buffer):
+            return False
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            pass
+        return False
+
+    def close(self) -> None:
+        if self.open:
+            self.open = False
+            self.scheduler.forget(self.fd)
+            self.sock.close()
+
+    def close_gently(self, until: int) -> None:
+        """Closes so that no unread byte resets an answer on its way."""
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+            reason = GOT
+            while reason == GOT:
+                self.buffer.take()
+                reason = self.read(until)
+        except OSError:
+            pass
+        self.close()
--- /dev/null
+++ b/laurelcourse/net/limits.py
@@ -0,0 +1,45 @@
+"""Sizes, counts and times of the network code, filled once at start and handed down."""
+
+from typing import NamedTuple
+
+from laurelcourse.settings import Tree
+
+SECOND = 1_000_000
+
+
+class Limits(NamedTuple):
+    clients: int              # open client connections
+    upstream: int             # open connections to units
+    backlog: int
+    accepts: int              # accepted, or datagrams read, in one turn
+    buffer_usual: int
+    buffer_most: int
+    message: int              # the longest message taken from a client
+    body: int                 # the longest HTTP body
+    datagram: int
+    connect: int              # until a connection to a unit is up
+    idle: int                 # a connection to a unit is not reused after this
+    startup: int              # a client's startup, an HTTP peer's connection
+    watch: int                # how long a watch of the directory may wait
+    watch_grace: int          # and how much later its answer may come
+    silence: int              # a notices stream without a sign of life
+    pause_first: int          # after a failed call, doubling
+    pause_most: int
+    stop_quiet: int           # no new connection for so long after SIGTERM
+    stop_accept: int          # and the longest wait for that
+    stop_drain: int           # waiting for a client to close its side
+
+
+def limits(tree: Tree) -> Limits:
+    """Shares the descriptors out: an eighth and 16 in reserve, the rest for clients and units alike."""
+    sockets, memory = tree.whole("limits.sockets"), tree.whole("limits.memory_mb") << 20
+    shared = max(sockets - sockets // 8 - 16, 8)
+    message = min(160 << 10, memory >> 10)
+    idle = tree.micros("settings.limits.conn_idle")
+    return Limits(
+        clients=shared // 2, upstream=shared // 2, backlog=min(sockets, 1024), accepts=32,
+        buffer_usual=1 << 12, buffer_most=message + (1 << 12), message=message, body=1 << 22, datagram=256,
+        connect=tree.micros("settings.limits.connect_timeout"), idle=idle - min(idle // 10, SECOND),
+        startup=5 * SECOND, watch=5 * SECOND, watch_grace=SECOND, silence=3 * SECOND,
+        pause_first=SECOND // 20, pause_most=SECOND, stop_quiet=3 * SECOND // 10,
+        stop_accept=6 * SECOND // 10, stop_drain=SECOND // 2)
--- /dev/null
+++ b/laurelcourse/net/postgres.py
@@ -0,0 +1,219 @@
+"""PostgreSQL's wire protocol, version 3: bytes in, values out, and back. No sockets."""
+
+import re
+import struct
+from typing import NamedTuple
+
+SSL, GSS, CANCEL, VERSION_3 = 80877103, 80877104, 80877102, 3
+LENGTH, WORD, SHORT = struct.Struct("!I"), struct.Struct("!I"), struct.Struct("!H")
+
+SYNTAX, BAD_VALUE, OUT_OF_RANGE, VIOLATION = "42601", "22023", "22003", "08P01"
+TOO_LONG, UNSUPPORTED, TURNED_AWAY, STARTING, SYSTEM = "54000", "0A000", "53300", "57P03", "58000"
+EXTENDED = frozenset(b"PBDECH")
+LONGEST_WAIT_MS = 3_600_000
+
+STATEMENT = re.compile(
+    rb"(?:SELECT blob FROM rows WHERE handle = '([^'\\]{1,256})'"
+    rb"|INSERT INTO rows \(handle, blob\) VALUES \('([^'\\]{1,256})', '\\x(?:[0-9a-fA-F]{2})*'\)"
+    rb" RETURNING blob)"
+    rb" /\* ?([^*/]{1,1024}?) ?\*/;?")
+
+
+class ProtocolError(Exception):
+    """What the other side sent can't be taken; `code` is its SQLSTATE."""
+
+    def __init__(self, code: str, text: str) -> None:
+        super().__init__(text)
+        self.code = code
+
+
+class Frame(NamedTuple):
+    kind: int       # the type byte; 0 for a startup message
+    begin: int      # of the payload
+    end: int
+
+
+class Statement(NamedTuple):
+    req: str
+    route: str
+    left_ms: int
+    mark: str
+    repeated: bool
+    key: int | None
+    before: bytes   # the statement's bytes on both sides of the time it names
+    after: bytes
+
+    def waiting(self, ms: int) -> bytes:
+        """The query that passes on: unchanged but for the time that the sender will wait."""
+        return query(b"%b%d%b" % (self.before, ms, self.after))
+
+
+def frame(data: bytearray | bytes, start: int, end: int, most: int, startup: bool = False) -> Frame | None:
+    """The next message, or None while bytes are missing; the caller may skip one that is too long."""
+    head = 0 if startup else 1
+    if end - start < head + 4:
+        return None
+    length = LENGTH.unpack_from(data, start + head)[0]
+    if length < (8 if startup else 4) or (startup and length > most):
+        raise ProtocolError(VIOLATION, "a message of impossible length")
+    found = Frame(0 if startup else data[start], start + head + 4, start + head + length)
+    return found if length > most or found.end <= end else None
+
+
+def code_of_startup(payload: bytes) -> int:
+    """SSL, GSS or CANCEL as they are; else the protocol's major version."""
+    code = WORD.unpack_from(payload)[0]
+    return code if code in (SSL, GSS, CANCEL) else code >> 16
+
+
+def minor_version(payload: bytes) -> int:
+    return WORD.unpack_from(payload)[0] & 0xFFFF
+
+
+def text(payload: bytes) -> bytes:
+    """What a query holds, without its closing zero."""
+    if payload[-1:] != b"\0" or payload.find(b"\0") != len(payload) - 1:
+        raise ProtocolError(VIOLATION, "a query that is not one string")
+    return payload[:-1]
+
+
+def statement(sql: bytes) -> Statement:
+    found = STATEMENT.fullmatch(sql)
+    if not found:
+        raise ProtocolError(SYNTAX, "not a statement that is served here")
+    fields: dict[bytes, tuple[bytes, int]] = {}
+    at = found.start(3)
+    for part in found.group(3).split(b","):
+        name, equals, value = part.partition(b"=")
+        if not equals or name in fields:
+            raise ProtocolError(SYNTAX, "the comment holds no names with values")
+        fields[name] = (value, at + len(name) + 1)
+        at += len(part) + 1
+    for name in (b"id", b"c", b"d"):
+        if not fields.get(name, (b"",))[0]:
+            raise ProtocolError(BAD_VALUE, f"the comment lacks {name.decode()}")
+    wait, place = fields[b"d"]
+    if not wait.isdigit() or not 0 < int(wait) <= LONGEST_WAIT_MS:
+        raise ProtocolError(OUT_OF_RANGE, "d is out of range")
+    key = (found.group(1) or found.group(2)).decode("latin-1")
+    try:
+        number = int(key, 16) % (1 << 53)
+    except ValueError:
+        number = None
+    return Statement(
+        req=fields[b"id"][0].decode("latin-1"), route=fields[b"c"][0].decode("latin-1"), left_ms=int(wait),
+        mark=fields.get(b"k", (b"",))[0].decode("latin-1"), repeated=fields.get(b"r", (b"",))[0] == b"1",
+        key=number, before=sql[:place], after=sql[place + len(wait):])
+
+
+def message(kind: bytes, payload: bytes = b"") -> bytes:
+    return kind + LENGTH.pack(len(payload) + 4) + payload
+
+
+def query(sql: bytes) -> bytes:
+    return message(b"Q", sql + b"\0")
+
+
+def startup(user: str, database: str) -> bytes:
+    words = b"".join(word.encode() + b"\0" for word in ("user", user, "database", database))
+    payload = WORD.pack(VERSION_3 << 16) + words + b"\0"
+    return LENGTH.pack(len(payload) + 4) + payload
+
+
+def error(code: str, words: str, back_ms: int = 0, fatal: bool = False) -> bytes:
+    level = "FATAL" if fatal else "ERROR"
+    fields = [("S", level), ("V", level), ("C", code), ("M", words)]
+    fields += [("D", str(back_ms))] if back_ms else []
+    return message(b"E", b"".join(f"{name}{value}".encode() + b"\0" for name, value in fields) + b"\0")
+
+
+READY = message(b"Z", b"I")
+EMPTY = message(b"I")
+PARAMETERS = (("server_version", "15.0"), ("server_encoding", "UTF8"), ("client_encoding", "UTF8"),
+              ("standard_conforming_strings", "on"), ("integer_datetimes", "on"), ("DateStyle", "ISO, MDY"))
+
+
+def welcome(minor: int) -> bytes:
+    newer = message(b"v", WORD.pack(0) + WORD.pack(0)) if minor else b""
+    told = b"".join(message(b"S", f"{name}\0{value}\0".encode()) for name, value in PARAMETERS)
+    return newer + message(b"R", WORD.pack(0)) + told + message(b"K", bytes(8)) + READY
+
+
+def fields_of_error(payload: bytes) -> dict[str, str]:
+    parts = payload.rstrip(b"\0").split(b"\0")
+    return {part[:1].decode("latin-1"): part[1:].decode("latin-1") for part in parts if part}
+
+
+def parameter(payload: bytes) -> tuple[str, str]:
+    name, _, value = payload.rstrip(b"\0").partition(b"\0")
+    return name.decode("latin-1"), value.decode("latin-1")
+
+
+def columns(payload: bytes) -> int:
+    """Of a row or its description."""
+    return SHORT.unpack_from(payload)[0] if len(payload) >= 2 else 0
+
+
+def value(payload: bytes) -> bytes | None:
+    """The one column of a row; None if it is null or the row has another shape."""
+    if len(payload) < 6 or columns(payload) != 1:
+        return None
+    length = WORD.unpack_from(payload, 2)[0]
+    return payload[6:] if length == len(payload) - 6 else None
+
+
+def report(words: str) -> dict[str, float]:
+    """A load report: `name=number` set apart by commas; what can't be read is passed over."""
+    found = {}
+    for part in words.split(","):
+        name, _, number = part.partition("=")
+        try:
+            found[name.strip()] = float(number)
+        except ValueError:
+            continue
+    return found
+
+
+class Answer:
+    """What a unit answers to one query, message by message."""
+
+    __slots__ = ("code", "kept", "load", "ready", "row", "stage", "words")
+
+    def __init__(self) -> None:
+        self.kept: list[bytes] = []
+        self.stage, self.code, self.words = "", "", ""
+        self.row: bytes | None = None
+        self.ready = False
+        self.load: dict[str, float] = {}
+
+    def take(self, kind: int, payload: bytes, parameter_of_load: str) -> None:
+        """One message; raises on what no answer may hold."""
+        letter = chr(kind)
+        if letter in "NA":
+            return
+        if letter == "S":
+            name, words = parameter(payload)
+            if name == parameter_of_load:
+                self.load = report(words)
+            return
+        if letter == "Z":
+            self.ready = bool(self.code) or self.stage == "TDC"
+            if not self.ready:
+                raise ProtocolError(VIOLATION, "ready without a whole answer")
+            return
+        if letter == "E":
+            fields = fields_of_error(payload)
+            self.code, self.words = fields.get("C", SYSTEM), fields.get("M", "")
+            return
+        self.stage += letter
+        if self.code or not "TDC".startswith(self.stage):
+            raise ProtocolError(VIOLATION, f"message {letter!r} out of place")
+        if letter == "D":
+            self.row = value(payload)
+        if (letter == "T" and columns(payload) != 1) or (letter == "D" and self.row is None):
+            raise ProtocolError(VIOLATION, "a row of another shape")
+        self.kept.append(message(letter.encode(), payload))
+
+    def whole(self) -> bytes | None:
+        """The row as it came, for the client."""
+        return b"".join(self.kept) if self.stage == "TDC" and not self.code else None
--- /dev/null
+++ b/laurelcourse/net/relay.py
@@ -0,0 +1,92 @@
+"""The relay as a whole: start, stop, wiring."""
+
+import logging
+import os
+import signal
+import socket
+
+from laurelcourse import interface as face
+from laurelcourse.net.choices import Choices
+from laurelcourse.net.clients import Clients
+from laurelcourse.net.config import Config
+from laurelcourse.net.counters import Counters
+from laurelcourse.net.deployer import Deployer, state
+from laurelcourse.net.directory import Directory
+from laurelcourse.net.relays import Relays
+from laurelcourse.net.scheduler import READ, Clock, Mailbox, Scheduler
+from laurelcourse.net.units import Units
+
+log = logging.getLogger(__name__)
+HEARD = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1)
+
+
+class Relay:
+    def __init__(self, config: Config) -> None:
+        self.config, self.limits, self.counters = config, config.limits, Counters()
+        self.scheduler = Scheduler(Clock(), lambda: self.counters.add("tasks_died"))
+        self.choices = Choices(self.scheduler, config.settings, config.seed, self.counters)
+        self.units = Units(self.scheduler, config, self.counters)
+        self.clients = Clients(self.scheduler, config, self.choices, self.units, self.counters)
+        self.directory = Directory(self.scheduler, config, self.choices, self.units, self.counters)
+        self.deployer = Deployer(self.scheduler, config, self.choices, self.counters)
+        self.relays = Relays(self.scheduler, config, self.choices, self.counters)
+        self.probed = Mailbox(self.scheduler)
+        self.over = self.stopping = False
+        for verb, carry in ((face.VOTE, self.deployer.vote), (face.TELL, self.relays.tell),
+                            (face.WATCH, self.directory.watch),
+                            (face.PROBE, lambda unit: self.units.probe(unit, self.probed))):
+            self.choices.on(verb, carry)
+
+    def run(self) -> None:
+        """Serves until a signal has stopped it and nothing is owed."""
+        wakeup, waker = socket.socketpair()
+        for end in (wakeup, waker):
+            end.setblocking(False)
+        signal.set_wakeup_fd(waker.fileno(), warn_on_full_buffer=False)
+        for number in HEARD:
+            signal.signal(number, lambda *_: None)
+        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        listener.setblocking(False)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(self.config.listen)
+        if self.config.peer_listen:
+            self.relays.bind(self.config.peer_listen)
+            self.scheduler.spawn("relays", self.relays.hear)
+        news = state(self.config.news)
+        self.directory.known(lambda known: self.choices.start(known, news))
+        listener.listen(self.limits.backlog)
+        for name, work in (("clients", lambda: self.clients.listen(listener)), ("sweep", self.units.sweep),
+                           ("directory", self.directory.follow), ("deployer", self.deployer.keep_hearing),
+                           ("probes", self._hear_probes), ("signals", lambda: self._signals(wakeup))):
+            self.scheduler.spawn(name, work)
+        log.info("serving", extra={"name_of_relay": self.config.name, "pid": os.getpid()})
+        self.scheduler.run(lambda: self.over)
+        log.info("counters", extra=self.counters.fields())
+
+    def _hear_probes(self) -> None:
+        while True:
+            self.choices.call("probed", *self.probed.get())
+
+    def _signals(self, wakeup: socket.socket) -> None:
+        while True:
+            self.scheduler.wait(wakeup.fileno(), READ)
+            for number in wakeup.recv(64):
+                if number == signal.SIGUSR1:
+                    log.info("counters", extra=self.counters.fields())
+                elif not self.stopping:
+                    self.stopping = True
+                    self.scheduler.spawn("stop", self._stop)
+
+    def _stop(self) -> None:
+        """Accepts while connections still come, closes each between reqs, answers what was taken."""
+        log.info("stopping", extra={"clients": len(self.clients.open), "reqs": self.clients.living})
+        began = self.scheduler.now()
+        while self.scheduler.now() - began < self.limits.stop_accept and (
+                self.scheduler.now() - max(began, self.clients.accepted_at) < self.limits.stop_quiet):
+            self.scheduler.sleep(self.limits.stop_quiet // 8)
+        self.clients.close_listener()
+        for client in list(self.clients.open):
+            client.stop()
+        while self.clients.open or self.clients.living:
+            self.scheduler.sleep(self.limits.stop_quiet // 16)
+        self.over = True
--- /dev/null
+++ b/laurelcourse/net/scheduler.py
@@ -0,0 +1,146 @@
+"""Tasks on greenlet over one poll object, a heap of deadlines, mailboxes. Times are whole microseconds."""
+
+import heapq
+import logging
+import select
+import time
+from collections import deque
+from collections.abc import Callable
+
+from greenlet import getcurrent, greenlet
+
+READ, WRITE = select.POLLIN, select.POLLOUT
+IO, MAIL, LATE, SHUT = "io", "mail", "late", "shut"  # why a wait ended
+
+log = logging.getLogger(__name__)
+
+
+class Clock:
+    """Unix time taken once, carried on monotonically."""
+
+    def __init__(self) -> None:
+        self.offset = time.time_ns() - time.monotonic_ns()
+
+    def now(self) -> int:
+        return (self.offset + time.monotonic_ns()) // 1000
+
+
+class Task(greenlet):
+    def __init__(self, run: Callable[[], None], hub: greenlet, name: str) -> None:
+        super().__init__(run, hub)
+        self.name, self.woken, self.waits = name, True, 0
+
+
+class Mailbox:
+    def __init__(self, scheduler: "Scheduler") -> None:
+        self.scheduler = scheduler
+        self.items: deque = deque()
+        self.reader: Task | None = None
+
+    def put(self, item: object) -> None:
+        self.items.append(item)
+        if self.reader:
+            self.scheduler.wake(self.reader, MAIL)
+
+    def get(self, until: int | None = None) -> object | None:
+        """The next item; None if none has come by then."""
+        while not self.items:
+            if self.scheduler.wait(box=self, until=until) == LATE and not self.items:
+                return None
+        return self.items.popleft()
+
+
+class Scheduler:
+    def __init__(self, clock: Clock, died: Callable[[], None]) -> None:
+        self.now, self.died = clock.now, died
+        self.hub = getcurrent()
+        self.poll = select.poll()
+        self.waiting: dict[int, Task] = {}
+        self.ready: deque[tuple[Task, str]] = deque()
+        self.heap: list[tuple[int, int, Task | Callable[[], None], int]] = []
+        self.pushed = 0
+
+    def spawn(self, name: str, work: Callable, *args: object) -> Task:
+        def run(_: str) -> None:
+            try:
+                work(*args)
+            except Exception:
+                log.exception("task died", extra={"task": name})
+                self.died()
+        task = Task(run, self.hub, name)
+        self.ready.append((task, MAIL))
+        return task
+
+    def after(self, delay: int, work: Callable[[], None]) -> None:
+        """Calls `work` in the hub after the delay; it may wake and spawn tasks, but not wait."""
+        self._push(self.now() + delay, work, 0)
+
+    def sleep(self, delay: int) -> None:
+        self.wait(until=self.now() + delay)
+
+    def breathe(self) -> None:
+        """Lets every other task that is ready go first."""
+        self.wake(getcurrent(), IO)
+        self.hub.switch()
+
+    def wait(self, fd: int | None = None, events: int = 0, box: Mailbox | None = None,
+             until: int | None = None) -> str:
+        """Waits for the first of: the descriptor ready, something in the box, the time come."""
+        if box is not None and box.items:
+            return MAIL
+        task = getcurrent()
+        if fd is not None:
+            self.waiting[fd] = task
+            self.poll.register(fd, events)
+        if box is not None:
+            box.reader = task
+        if until is not None:
+            self._push(until, task, task.waits)
+        reason = self.hub.switch()
+        task.waits += 1
+        if box is not None:
+            box.reader = None
+        # The number may by now stand for another descriptor, with another task waiting on it.
+        if fd is not None and self.waiting.get(fd) is task:
+            del self.waiting[fd]
+            self.poll.unregister(fd)
+        return reason
+
+    def forget(self, fd: int) -> None:
+        """To be called before a descriptor closes: whoever waits on it learns that it is shut."""
+        task = self.waiting.pop(fd, None)
+        if task:
+            self.poll.unregister(fd)
+            self.wake(task, SHUT)
+
+    def wake(self, task: Task, reason: str) -> None:
+        if not task.woken and not task.dead:
+            task.woken = True
+            self.ready.append((task, reason))
+
+    def run(self, over: Callable[[], bool]) -> None:
+        while not over():
+            for _ in range(len(self.ready)):
+                task, reason = self.ready.popleft()
+                task.woken = False
+                task.switch(reason)
+            now = self.now()
+            while self.heap and self.heap[0][0] <= now:
+                _, _, what, number = heapq.heappop(self.heap)
+                if not isinstance(what, Task):
+                    what()
+                elif what.waits == number:
+                    self.wake(what, LATE)
+            for fd, _ in self.poll.poll(self._pause(now)):
+                if fd in self.waiting:
+                    self.wake(self.waiting[fd], IO)
+
+    def _pause(self, now: int) -> int | None:
+        """Whole ms, rounded up: rounding down would spin through the last one."""
+        if self.ready:
+            return 0
+        return max(-((now - self.heap[0][0]) // 1000), 0) if self.heap else None
+
+    def _push(self, when: int, what: Task | Callable[[], None], number: int) -> None:
+        self.pushed += 1
+        heapq.heappush(self.heap, (when, self.pushed, what, number))
--- a/laurelcourse/settings.py
+++ b/laurelcourse/settings.py
@@ -1,10 +1,13 @@
 """The settings that the module reads, decoded once at start. Times are whole microseconds."""
 
+from collections.abc import Mapping
 from typing import NamedTuple
 
 RETRIABLE, DEDUPED, NON_RETRIABLE = "retriable", "deduped", "non-retriable"
 ANY, SHARE, CLOCKED = "any", "share", "clocked"
 GROUP_ALL, GROUP_ZONE, GROUP_CELL = "all", "zone", "cell"
+REPEATS = {"idempotent": RETRIABLE, "deduplicated": DEDUPED, "at_most_once": NON_RETRIABLE}
+CONTROLS = {"single": ANY, "majority": SHARE, "clocked": CLOCKED}
 
 
 class Route(NamedTuple):
@@ -52,3 +55,104 @@
     votes_back: int
     complaint_share: float
     crossing_price: float
+
+
+class SettingsError(Exception):
+    """What is wrong with a field, named by its path."""
+
+
+class Tree:
+    """A nested mapping, read by path; numbers and lists may also stand in it as text."""
+
+    def __init__(self, root: Mapping) -> None:
+        self.root = root
+
+    def value(self, path: str) -> object:
+        found: object = self.root
+        for part in path.split("."):
+            try:
+                found = found[int(part) if isinstance(found, list) else part]
+            except (KeyError, IndexError, TypeError, ValueError):
+                raise SettingsError(f"lacks the field '{path}'") from None
+        return found
+
+    def unreadable(self, path: str) -> SettingsError:
+        return SettingsError(f"has an unreadable '{path}'")
+
+    def items(self, path: str) -> list:
+        found = self.value(path)
+        if not isinstance(found, list):
+            raise self.unreadable(path)
+        return found
+
+    def text(self, path: str) -> str:
+        found = self.value(path)
+        if not isinstance(found, str):
+            raise self.unreadable(path)
+        return found
+
+    def flag(self, path: str) -> bool:
+        return self.value(path) in (True, "true", "1")
+
+    def number(self, path: str) -> float:
+        try:
+            value = float(self.value(path))
+        except (TypeError, ValueError):
+            raise self.unreadable(path) from None
+        if value - value != 0:
+            raise self.unreadable(path)
+        return value
+
+    def whole(self, path: str) -> int:
+        return round(self.number(path))
+
+    def micros(self, path: str) -> int:
+        return round(self.number(path) * 1000)
+
+    def numbers(self, path: str) -> tuple[float, ...]:
+        found = self.value(path)
+        parts = found.split(",") if isinstance(found, str) else found
+        try:
+            return tuple(float(part) for part in parts if part != "")
+        except (TypeError, ValueError):
+            raise self.unreadable(path) from None
+
+    def one_of(self, path: str, words: Mapping[str, str]) -> str:
+        word = self.value(path)
+        if word not in words:
+            raise self.unreadable(path)
+        return words[word]
+
+
+def route(tree: Tree, place: int) -> Route:
+    at = f"classes.{place}."
+    return Route(
+        name=tree.text(at + "name"), objective=tree.micros(at + "aim"),
+        timeout=tree.micros(at + "deadline"), earnings=tree.number(at + "worth"),
+        late_share=tree.number(at + "late_share"), repeat=tree.one_of(at + "effect", REPEATS),
+        group=tree.text(at + "group"), memory=tree.micros(at + "memory_span"))
+
+
+def decode(root: Mapping) -> Settings:
+    tree = Tree(root)
+    return Settings(
+        me=tree.whole("me"), relays=tree.whole("balancers"), zone=tree.text("locality"),
+        routes=tuple(route(tree, place) for place in range(len(tree.items("classes")))),
+        tick=tree.micros("tick"), max_tries=tree.whole("limits.max_attempts"),
+        may_duplicate=tree.flag("limits.may_duplicate"), may_probe=tree.flag("limits.probes"),
+        may_tell=tree.flag("limits.peer_messages"), may_name_return=tree.flag("limits.retry_after"),
+        longest_return=tree.micros("limits.max_retry_after"), must_ask=tree.text("discovery") == "ask",
+        ask_within=tree.micros("obligations.must_ask_in"),
+        drain_grace=tree.micros("obligations.stop_sending_within"),
+        cold_share=tree.number("obligations.start_capacity"),
+        warm_after=tree.micros("obligations.warm_after"),
+        overload_factor=tree.number("obligations.overload_factor"),
+        tip_after=tree.micros("obligations.tip_after"),
+        cap_by_route=tree.text("domain.cap_scope") == "per_lane", cap_free=tree.number("domain.free"),
+        cap_window=tree.micros("domain.counted_over"), stage_caps=tree.numbers("domain.most_shares"),
+        stage_shares=tree.numbers("domain.rings"), shielded=tree.whole("domain.shielded"),
+        keys_stay=tree.flag("domain.keys_stay"), control=tree.one_of("domain.decided_by", CONTROLS),
+        bake=tree.micros("domain.least_stage"), vote_life=tree.micros("domain.ballot_ttl"),
+        vote_timeout=tree.micros("domain.api_timeout"), votes_on=tree.whole("domain.to_advance"),
+        votes_back=tree.whole("domain.back_votes"), complaint_share=tree.number("domain.complaint_share"),
+        crossing_price=tree.number("prices.cross_zone"))
