What is told stands in one place as values; a fault of the relay ends a req as errored

Seen on reading: a try whose task failed would have been told as never run, and a req whose task failed would have had no answer; the notices stream could be opened anew without a pause.

--- a/laurelcourse/benchlink/decode.py
+++ b/laurelcourse/benchlink/decode.py
@@ -6,7 +6,7 @@
 
 from laurelcourse import interface as face
 from laurelcourse.benchlink.framing import Message, WireError
-from laurelcourse.settings import Settings, SettingsError, decode
+from laurelcourse.settings import Settings, SettingsError, Tree, decode
 
 STATUSES = {"done": face.OK, "err": face.FAILED, "busy": face.BUSY, "etimedout": face.TIMEOUT,
             "econnrefused": face.UNREACHED, "econnreset": face.RESET, "ecanceled": face.CANCELLED,
@@ -49,7 +49,7 @@
 
 def settings(message: Message) -> Settings:
     try:
-        return decode(nested(message.fields))
+        return decode(Tree(nested(message.fields)))
     except SettingsError as error:
         raise WireError(f"line {message.line}: {message.name} {error}") from None
     except ValueError as error:
--- a/laurelcourse/net/calls.py
+++ b/laurelcourse/net/calls.py
@@ -1,7 +1,13 @@
-"""One HTTP call on a connection: written, and its answer read, by a deadline."""
+"""HTTP calls: an answer read by its deadline, and the pauses after calls that fail."""
 
+import logging
+
+from laurelcourse.chance import Chance
 from laurelcourse.net.connection import ENDED, GOT, Connection
 from laurelcourse.net.http import HttpError, Response
+from laurelcourse.net.limits import Limits
+
+log = logging.getLogger(__name__)
 
 
 def answer(conn: Connection, until: int, most: int) -> Response:
@@ -18,3 +24,23 @@
         else:
             raise HttpError("no whole answer in time")
     return found
+
+
+class Pauses:
+    """Growing, jittered pauses between failed calls; the log hears of a change alone."""
+
+    def __init__(self, limits: Limits, seed: int, what: str) -> None:
+        self.first, self.most, self.what = limits.pause_first, limits.pause_most, what
+        self.chance, self.pause = Chance(seed), 0
+
+    def failed(self, fault: object) -> int:
+        """Notes a failed call; how long to wait before the next."""
+        if not self.pause:
+            log.warning("%s fails", self.what, extra={"fault": fault})
+        self.pause = min(max(2 * self.pause, self.first), self.most)
+        return self.pause // 2 + self.chance.below(self.pause)
+
+    def worked(self) -> None:
+        if self.pause:
+            log.info("%s is back", self.what)
+        self.pause = 0
--- a/laurelcourse/net/choices.py
+++ b/laurelcourse/net/choices.py
@@ -6,6 +6,7 @@
 from laurelcourse import interface as face
 from laurelcourse.interface import Result
 from laurelcourse.net.counters import Counters
+from laurelcourse.net.forms import State, Tally
 from laurelcourse.net.scheduler import Mailbox, Scheduler
 from laurelcourse.rules import Balancer
 from laurelcourse.settings import Settings
@@ -27,7 +28,7 @@
         """Names who carries out the results with this verb."""
         self.carry[verb] = lambda result: carry(*result[1:])
 
-    def call(self, name: str, *args: object, req: str | None = None) -> None:
+    def _call(self, name: str, *args: object, req: str | None = None) -> None:
         now = self.scheduler.now()
         try:
             results = getattr(self.balancer, name)(now, *args)
@@ -39,37 +40,48 @@
             if req is not None:
                 results.append((face.ERROR, req))
                 if name != "withdrawn":
-                    self.call("withdrawn", req, req=req)
+                    self._call("withdrawn", req, req=req)
         for result in results:
             self.carry[result[0]](result)
 
-    def start(self, known: Iterable[face.Listed], news: tuple) -> None:
-        self.call("start")
-        self.directory(face.CACHED, known)
-        self.stage(*news, answers_vote=False)
+    def start(self, known: list[face.Listed], news: State) -> None:
+        self._call("start")
+        self.holds_list = bool(known)
+        self._call("directory", face.CACHED, known)
+        self.stage(news)
 
     def take(self, box: Mailbox, req: str, route: str, key: int | None, left: int, repeated: bool) -> None:
         self.boxes[req] = box
-        self.call("new_req", req, route, "", key, left, repeated, req=req)
+        self._call("new_req", req, route, "", key, left, repeated, req=req)
 
     def outcome(self, req: str, number: int, unit: int, status: str, lag: int, last: bool,
                 load: dict[str, float]) -> None:
-        self.call("outcome", req, number, unit, status, lag, last, load, req=req)
+        self._call("outcome", req, number, unit, status, lag, last, load, req=req)
 
     def withdrawn(self, req: str) -> None:
-        self.call("withdrawn", req, req=req)
+        self._call("withdrawn", req, req=req)
 
     def done(self, req: str) -> None:
         """The req has its answer, and every try its outcome."""
-        del self.boxes[req]
+        self.boxes.pop(req, None)
 
     def directory(self, how: str, entries: Iterable[face.Listed]) -> None:
         self.holds_list |= how != face.BROKEN
-        self.call("directory", how, entries)
+        self._call("directory", how, entries)
 
-    def stage(self, build: int, stage: int, standing: int, cap: float, since: int, answers_vote: bool,
-              status: str = face.COUNTED) -> None:
-        self.call("stage", build, stage, standing, answers_vote, status, cap, since)
+    def stage(self, news: State, vote_ended: str | None = None) -> None:
+        """News of the newest build, unasked or as the end of a vote."""
+        self._call("stage", news.build, news.stage, news.standing, vote_ended is not None,
+                  vote_ended or face.COUNTED, news.cap, news.since)
+
+    def tally(self, found: Tally) -> None:
+        self._call("tally", *found)
+
+    def peer(self, relay: int, payload: bytes) -> None:
+        self._call("peer", relay, payload)
+
+    def probed(self, unit: int, status: str, lag: int, load: dict[str, float]) -> None:
+        self._call("probed", unit, status, lag, load)
 
     def _to_req(self, result: Result) -> None:
         if box := self.boxes.get(result[1]):
@@ -79,7 +91,7 @@
 
     def _wake(self, result: Result) -> None:
         _, delay, token = result
-        self.scheduler.after(delay, lambda: self.call("timer", token))
+        self.scheduler.after(delay, lambda: self._call("timer", token))
 
     def _note(self, result: Result) -> None:
         log.info(result[1])
--- a/laurelcourse/net/clients.py
+++ b/laurelcourse/net/clients.py
@@ -38,7 +38,6 @@
         self.units, self.counters = units, counters
         self.repeats = {route.name: route.repeat for route in config.settings.routes}
         self.open: set[Client] = set()
-        self.living = 0
         self.freed = Mailbox(scheduler)
         self.listener: socket.socket | None = None
         self.accepted_at = 0
@@ -80,7 +79,7 @@
 
     def _serve(self, client: Client) -> None:
         try:
-            if self._startup(client.conn):
+            if self._startup(client):
                 self._talk(client)
         finally:
             client.conn.close()
@@ -88,13 +87,15 @@
             if not self.freed.items:
                 self.freed.put(None)
 
-    def _startup(self, conn: Connection) -> bool:
-        buffer, until = conn.buffer, self.scheduler.now() + self.limits.startup
+    def _startup(self, client: Client) -> bool:
+        conn, buffer, until = client.conn, client.conn.buffer, self.scheduler.now() + self.limits.startup
         while True:
             try:
                 found = postgres.frame(buffer.data, buffer.start, buffer.end, buffer.usual, startup=True)
                 if not found:
-                    if conn.read(until) != GOT:
+                    if (reason := conn.read(until, client.box)) == MAIL:
+                        until = self._told_to_stop(client)
+                    elif reason != GOT:
                         return False
                     continue
                 payload = bytes(buffer.data[found.begin:found.end])
@@ -157,17 +158,23 @@
     def _more(self, client: Client) -> bool:
         """Waits for bytes between reqs; False when the connection is over, or is to be closed now."""
         conn = client.conn
-        if client.stopping:
-            # A req whose bytes have come is taken, and answered, before the connection closes.
-            if conn.read_now() == GOT:
-                return True
-            conn.close_gently(self.scheduler.now() + self.limits.stop_drain)
-            return False
-        reason = conn.read(box=client.box)
-        if reason == MAIL:
-            client.stopping |= client.box.get()[0] == STOP
+        if not client.stopping:
+            reason = conn.read(box=client.box)
+            if reason == MAIL:
+                self._told_to_stop(client)
+            return reason in (MAIL, GOT)
+        # A req whose bytes have come, or begun to, is taken and answered before the connection closes.
+        soon = self.scheduler.now() + self.limits.stop_drain
+        if conn.read_now() == GOT or (conn.buffer and conn.read(soon) == GOT):
             return True
-        return reason == GOT
+        conn.close_gently(soon)
+        return False
+
+    def _told_to_stop(self, client: Client) -> int:
+        """Heeds the one thing said to a client between reqs; how long what it has begun may take."""
+        client.box.get()
+        client.stopping = True
+        return self.scheduler.now() + self.limits.stop_drain
 
     def _skip(self, conn: Connection, count: int) -> bool:
         """Passes over a message too long to hold, so that the framing stands behind it."""
@@ -207,7 +214,6 @@
     def _await(self, client: Client, statement: Statement) -> bytes | None:
         """The answer to a req, with an eye on the client meanwhile; None if it went away."""
         box = Mailbox(self.scheduler)
-        self.living += 1
         self.scheduler.spawn("req", self._live, statement, box, client.box)
         reason = GOT
         while True:
@@ -220,7 +226,7 @@
                 what, *rest = client.box.get()
                 if what == ANSWER:
                     return rest[0]
-                client.stopping |= what == STOP
+                client.stopping = True
             elif reason == ENDED:
                 box.put((GONE,))
                 return None
@@ -230,36 +236,40 @@
         req, route, choices = statement.req, statement.route, self.choices
         tries: list[Try] = []
         out, end = 0, None
-        choices.take(box, req, route, statement.key, statement.left_ms * 1000, statement.repeated)
-        while end is None or out:
-            what, *rest = box.get()
-            answer = None
-            if what == face.SEND:
-                _, unit, limit = rest
-                out += 1
-                if end is None:
-                    tries.append(self.units.begin(len(tries), unit, limit, statement, box))
-                else:
-                    tries.append(Try(len(tries), unit, Mailbox(self.scheduler)))
-                    box.put((OUTCOME, len(tries) - 1, unit, face.UNSENT, 0, {}, None))
-            elif what == face.CANCEL:
-                tries[rest[1]].cancel()
-            elif what == OUTCOME:
-                number, unit, status, lag, load, row = rest
-                out -= 1
-                if status == face.OK and end is None:
-                    end, answer = "completed", row + postgres.READY
-                    client.put((ANSWER, answer))
-                choices.outcome(req, number, unit, status, lag, end is not None, load)
-            elif what == GONE and end is None:
-                end = "withdrawn"
-                choices.withdrawn(req)
-            elif what in (face.SHED, face.ERROR) and end is None:
-                if what == face.SHED:
-                    end, answer = "shed", postgres.error(postgres.TURNED_AWAY, "shed", rest[1] // 1000)
-                else:
-                    end, answer = "errored", postgres.error(postgres.SYSTEM, "errored")
-                client.put((ANSWER, answer + postgres.READY))
-        choices.done(req)
-        self.counters.add(f"reqs.{route}.{end}")
-        self.living -= 1
+        try:
+            choices.take(box, req, route, statement.key, statement.left_ms * 1000, statement.repeated)
+            while end is None or out:
+                what, *rest = box.get()
+                if what == face.SEND:
+                    _, unit, limit = rest
+                    out += 1
+                    if end is None:
+                        tries.append(self.units.begin(len(tries), unit, limit, statement, box))
+                    else:
+                        tries.append(self.units.unsent(len(tries), unit, box))
+                elif what == face.CANCEL:
+                    tries[rest[1]].cancel()
+                elif what == OUTCOME:
+                    number, unit, status, lag, load, row = rest
+                    out -= 1
+                    if status == face.OK and end is None:
+                        end = "completed"
+                        client.put((ANSWER, row + postgres.READY))
+                    choices.outcome(req, number, unit, status, lag, end is not None, load)
+                elif what == GONE and end is None:
+                    end = "withdrawn"
+                    choices.withdrawn(req)
+                elif what == face.SHED and end is None:
+                    end = "shed"
+                    back = rest[1] // 1000
+                    client.put((ANSWER, postgres.error(postgres.TURNED_AWAY, end, back) + postgres.READY))
+                elif what == face.ERROR and end is None:
+                    end = "errored"
+                    client.put((ANSWER, postgres.error(postgres.SYSTEM, end) + postgres.READY))
+        finally:
+            if end is None:
+                # A fault of this program: the client still gets its one answer, which claims nothing.
+                end = "errored"
+                client.put((ANSWER, postgres.error(postgres.SYSTEM, end) + postgres.READY))
+            choices.done(req)
+            self.counters.add(f"reqs.{route}.{end}")
--- a/laurelcourse/net/http.py
+++ b/laurelcourse/net/http.py
@@ -24,10 +24,10 @@
         return "close" in self.fields.get("connection", "").lower()
 
 
-def request(method: str, target: str, host: str, form: dict[str, object] | None = None,
+def request(method: str, target: str, address: tuple[str, int], form: dict[str, object] | None = None,
             closes: bool = False) -> bytes:
     body = urlencode(form).encode() if form is not None else b""
-    lines = [f"{method} {target} HTTP/1.1", f"Host: {host}"]
+    lines = [f"{method} {target} HTTP/1.1", "Host: {}:{}".format(*address)]
     lines += [f"Content-Type: {FORM}", f"Content-Length: {len(body)}"] if form is not None else []
     lines += ["Connection: close"] if closes else []
     return "\r\n".join([*lines, "", ""]).encode() + body
--- a/laurelcourse/net/postgres.py
+++ b/laurelcourse/net/postgres.py
@@ -14,7 +14,7 @@
 
 STATEMENT = re.compile(
     rb"(?:SELECT blob FROM rows WHERE handle = '([^'\\]{1,256})'"
-    rb"|INSERT INTO rows \(handle, blob\) VALUES \('([^'\\]{1,256})', '\\x(?:[0-9a-fA-F]{2})*'\)"
+    rb"|INSERT INTO rows \(handle, blob\) VALUES \('([^'\\]{1,256})', '\\x([0-9a-fA-F]*)'\)"
     rb" RETURNING blob)"
     rb" /\* ?([^*/]{1,1024}?) ?\*/;?")
 
@@ -79,11 +79,11 @@
 
 def statement(sql: bytes) -> Statement:
     found = STATEMENT.fullmatch(sql)
-    if not found:
+    if not found or (found.end(3) - found.start(3)) % 2:
         raise ProtocolError(SYNTAX, "not a statement that is served here")
     fields: dict[bytes, tuple[bytes, int]] = {}
-    at = found.start(3)
-    for part in found.group(3).split(b","):
+    at = found.start(4)
+    for part in found.group(4).split(b","):
         name, equals, value = part.partition(b"=")
         if not equals or name in fields:
             raise ProtocolError(SYNTAX, "the comment holds no names with values")
--- a/laurelcourse/net/relay.py
+++ b/laurelcourse/net/relay.py
@@ -10,7 +10,7 @@
 from laurelcourse.net.clients import Clients
 from laurelcourse.net.config import Config
 from laurelcourse.net.counters import Counters
-from laurelcourse.net.deployer import Deployer, state
+from laurelcourse.net.deployer import Deployer
 from laurelcourse.net.directory import Directory
 from laurelcourse.net.relays import Relays
 from laurelcourse.net.scheduler import READ, Clock, Mailbox, Scheduler
@@ -52,8 +52,8 @@
         if self.config.peer_listen:
             self.relays.bind(self.config.peer_listen)
             self.scheduler.spawn("relays", self.relays.hear)
-        news = state(self.config.news)
-        self.directory.known(lambda known: self.choices.start(known, news))
+        self.units.listed(self.config.known.entries, True)
+        self.choices.start([listed for listed, _ in self.config.known.entries], self.config.news)
         listener.listen(self.limits.backlog)
         for name, work in (("clients", lambda: self.clients.listen(listener)), ("sweep", self.units.sweep),
                            ("directory", self.directory.follow), ("deployer", self.deployer.keep_hearing),
@@ -65,7 +65,7 @@
 
     def _hear_probes(self) -> None:
         while True:
-            self.choices.call("probed", *self.probed.get())
+            self.choices.probed(*self.probed.get())
 
     def _signals(self, wakeup: socket.socket) -> None:
         while True:
@@ -79,7 +79,7 @@
 
     def _stop(self) -> None:
         """Accepts while connections still come, closes each between reqs, answers what was taken."""
-        log.info("stopping", extra={"clients": len(self.clients.open), "reqs": self.clients.living})
+        log.info("stopping", extra={"clients": len(self.clients.open)})
         began = self.scheduler.now()
         while self.scheduler.now() - began < self.limits.stop_accept and (
                 self.scheduler.now() - max(began, self.clients.accepted_at) < self.limits.stop_quiet):
@@ -87,6 +87,6 @@
         self.clients.close_listener()
         for client in list(self.clients.open):
             client.stop()
-        while self.clients.open or self.clients.living:
+        while self.clients.open:
             self.scheduler.sleep(self.limits.stop_quiet // 16)
         self.over = True
--- a/laurelcourse/net/relays.py
+++ b/laurelcourse/net/relays.py
@@ -32,13 +32,12 @@
                     self.counters.add("datagrams_ignored")
                     continue
                 self.counters.add("datagrams_heard")
-                self.choices.call("peer", number, payload)
+                self.choices.peer(number, payload)
 
     def tell(self, relay: int | str, payload: bytes) -> None:
         """One that can't go now is lost, as any datagram may be."""
-        address = self.all if relay == "all" else self.peers[relay]
         try:
-            self.sock.sendto(payload, address)
+            self.sock.sendto(payload, self.all if relay == "all" else self.peers[relay])
             self.counters.add("datagrams_told")
-        except OSError:
+        except (OSError, IndexError):
             self.counters.add("datagrams_untold")
--- a/laurelcourse/net/scheduler.py
+++ b/laurelcourse/net/scheduler.py
@@ -26,9 +26,9 @@
 
 
 class Task(greenlet):
-    def __init__(self, run: Callable[[], None], hub: greenlet, name: str) -> None:
+    def __init__(self, run: Callable[[str], None], hub: greenlet) -> None:
         super().__init__(run, hub)
-        self.name, self.woken, self.waits = name, True, 0
+        self.woken, self.waits = True, 0
 
 
 class Mailbox:
@@ -61,16 +61,17 @@
         self.pushed = 0
 
     def spawn(self, name: str, work: Callable, *args: object) -> Task:
-        def run(_: str) -> None:
-            try:
-                work(*args)
-            except Exception:
-                log.exception("task died", extra={"task": name})
-                self.died()
-        task = Task(run, self.hub, name)
+        task = Task(lambda _: self._guarded(name, work, *args), self.hub)
         self.ready.append((task, MAIL))
         return task
 
+    def _guarded(self, name: str, work: Callable, *args: object) -> None:
+        try:
+            work(*args)
+        except Exception:
+            log.exception("task died", extra={"task": name})
+            self.died()
+
     def after(self, delay: int, work: Callable[[], None]) -> None:
         """Calls `work` in the hub after the delay; it may wake and spawn tasks, but not wait."""
         self._push(self.now() + delay, work, 0)
@@ -128,7 +129,7 @@
             while self.heap and self.heap[0][0] <= now:
                 _, _, what, number = heapq.heappop(self.heap)
                 if not isinstance(what, Task):
-                    what()
+                    self._guarded("timer", what)
                 elif what.waits == number:
                     self.wake(what, LATE)
             for fd, _ in self.poll.poll(self._pause(now)):
--- a/laurelcourse/net/units.py
+++ b/laurelcourse/net/units.py
@@ -2,19 +2,20 @@
 
 import logging
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from laurelcourse import interface as face
 from laurelcourse.net import postgres
-from laurelcourse.net.config import Address, Config
-from laurelcourse.net.connection import ENDED, FULL, GOT, Connection
+from laurelcourse.net.config import Config
+from laurelcourse.net.connection import GOT, Connection
 from laurelcourse.net.counters import Counters
+from laurelcourse.net.forms import Address
 from laurelcourse.net.postgres import Answer, ProtocolError, Statement
-from laurelcourse.net.scheduler import MAIL, Mailbox, Scheduler
+from laurelcourse.net.scheduler import LATE, MAIL, Mailbox, Scheduler
 
 USER, DATABASE, LOAD_REPORT = "api", "ledger", "gauges"
 OUTCOME = "outcome"
-SILENT = "silent"
+NONSENSE = "nonsense"
 
 log = logging.getLogger(__name__)
 
@@ -41,7 +42,7 @@
 class Units:
     def __init__(self, scheduler: Scheduler, config: Config, counters: Counters) -> None:
         self.scheduler, self.counters, self.limits = scheduler, counters, config.limits
-        self.load_names = config.load_names
+        self.load_told = config.load_told
         self.places: dict[int, Place] = {}
         self.open = 0
         self.hello = postgres.startup(USER, DATABASE)
@@ -72,91 +73,95 @@
         self.scheduler.spawn("try", self._run, one, limit, statement, box)
         return one
 
+    def unsent(self, number: int, unit: int, box: Mailbox) -> Try:
+        """A try that came too late to be sent: the req had ended."""
+        self.counters.add(f"tries.{face.UNSENT}")
+        box.put((OUTCOME, number, unit, face.UNSENT, 0, {}, None))
+        return Try(number, unit, Mailbox(self.scheduler))
+
     def probe(self, unit: int, report: Mailbox) -> None:
         """Asks a unit how it is; status, lag and load go into the box."""
         self.scheduler.spawn("probe", self._probe, unit, report)
 
     def _run(self, one: Try, limit: int, statement: Statement, box: Mailbox) -> None:
-        began = self.scheduler.now()
-        answer = Answer()
-        status = face.UNREACHED
+        began, answer = self.scheduler.now(), Answer()
+        status = face.RESET  # what a fault of this program leaves open is taken for a try that may have run
         try:
-            status = self._exchange(one, began + limit, statement, answer)
+            status = self._ask(one.unit, statement.waiting, began + limit, answer, one.box)
         finally:
-            lag = self.scheduler.now() - began
             self.counters.add(f"tries.{status}")
             row = answer.whole() if status == face.OK else None
-            box.put((OUTCOME, one.number, one.unit, status, lag, answer.load, row))
+            box.put((OUTCOME, one.number, one.unit, status, self.scheduler.now() - began, answer.load, row))
+
+    def _probe(self, unit: int, report: Mailbox) -> None:
+        began, answer = self.scheduler.now(), Answer()
+        sql = f"SHOW {LOAD_REPORT}" if self.load_told else "SELECT 1"
+        probe = postgres.query(sql.encode())
+        until, never = began + self.limits.connect, Mailbox(self.scheduler)
+        status = self._ask(unit, lambda _: probe, until, answer, never)
+        load = postgres.report((answer.row or b"").decode("latin-1")) if self.load_told else {}
+        self.counters.add(f"probes.{status}")
+        report.put((unit, status, self.scheduler.now() - began, load))
 
-    def _exchange(self, one: Try, until: int, statement: Statement, answer: Answer) -> str:
-        place = self.places.get(one.unit)
-        conn, status = self._connection(place, until) if place else (None, face.UNREACHED)
+    def _ask(self, unit: int, query: Callable[[int], bytes], until: int, answer: Answer, box: Mailbox) -> str:
+        """Sends one query, made for the ms that are left, and reads its answer; how that ended."""
+        place = self.places.get(unit)
+        if place is None:
+            return face.UNREACHED
+        conn, status = self._connection(place, until)
         if conn is None:
             return status
-        left = (until - self.scheduler.now()) // 1000
-        if one.box.items or left <= 0:
-            self._keep(place, conn)
-            return face.CANCELLED if one.box.items else face.UNREACHED
-        # Until the last byte is written the unit has not begun: only then may the try have run.
-        if not conn.write(statement.waiting(left), until):
-            self._close(conn)
-            return face.UNREACHED
-        ended = self._answered(conn, until, answer, one.box)
-        if answer.ready:
-            self._keep(place, conn)
-        else:
-            self._close(conn)
+        try:
+            left = (until - self.scheduler.now()) // 1000
+            # Until the last byte is written the unit has not begun: only from then on may the try have run.
+            if left <= 0 or box.items or not conn.write(query(left), until):
+                return face.CANCELLED if box.items else face.UNREACHED
+            ended = self._answered(conn, until, answer, box)
+            if answer.ready and not conn.buffer:
+                self._keep(place, conn)
+                conn = None
+        finally:
+            if conn:
+                self._close(conn)
+        if ended == NONSENSE:
+            return face.RESET  # whatever it said before, its try may have run
         if answer.code:
             return face.BUSY if answer.code == postgres.TURNED_AWAY else face.FAILED
-        if answer.whole() and ended != postgres.VIOLATION:
-            return face.OK
-        return {SILENT: face.TIMEOUT, MAIL: face.CANCELLED}.get(ended, face.RESET)
+        return face.OK if answer.whole() else ended
 
-    def _answered(self, conn: Connection, until: int, answer: Answer, box: Mailbox | None) -> str:
-        """Reads until the answer is whole, and tells what ended it otherwise."""
-        buffer = conn.buffer
+    def _answered(self, conn: Connection, until: int, answer: Answer, box: Mailbox) -> str:
+        """Reads until the answer is whole, and tells how that ended."""
         while not answer.ready:
+            found = self._message(conn, until, box)
+            if isinstance(found, str):
+                return found
+            try:
+                answer.take(*found, LOAD_REPORT)
+            except ProtocolError as error:
+                return self._nonsense(error)
+        return self._nonsense("bytes behind an answer") if conn.buffer else face.OK
+
+    def _message(self, conn: Connection, until: int, box: Mailbox) -> tuple[int, bytes] | str:
+        """The unit's next message, or how the wait for it ended."""
+        buffer = conn.buffer
+        while True:
             try:
                 found = postgres.frame(buffer.data, buffer.start, buffer.end, buffer.most)
-                if found:
-                    if found.end > buffer.end:
-                        raise ProtocolError(postgres.TOO_LONG, "a message over the limit")
-                    buffer.start = found.end
-                    answer.take(found.kind, bytes(buffer.data[found.begin:found.end]), LOAD_REPORT)
-                    continue
             except ProtocolError as error:
-                self.counters.add("units_nonsense")
-                log.warning("a unit speaks nonsense", extra={"fault": error})
-                return postgres.VIOLATION
+                return self._nonsense(error)
+            if found and found.end <= buffer.end:
+                buffer.start = found.end
+                return found.kind, bytes(buffer.data[found.begin:found.end])
+            if found:
+                return self._nonsense("a message over the limit")
             reason = conn.read(until, box)
-            if reason in (ENDED, FULL, MAIL):
-                return reason
             if reason != GOT:
-                return SILENT
-        if len(buffer):
-            self.counters.add("units_nonsense")
-            answer.ready = False
-            return postgres.VIOLATION
-        return GOT
+                return {MAIL: face.CANCELLED, LATE: face.TIMEOUT}.get(reason, face.RESET)
 
-    def _probe(self, unit: int, report: Mailbox) -> None:
-        began = self.scheduler.now()
-        until = began + self.limits.connect
-        place, answer = self.places.get(unit), Answer()
-        conn, status = self._connection(place, until) if place else (None, face.UNREACHED)
-        if conn:
-            sql = b"SHOW " + LOAD_REPORT.encode() if self.load_names else b"SELECT 1"
-            written = conn.write(postgres.query(sql), until)
-            ended = self._answered(conn, until, answer, None) if written else ENDED
-            status = face.OK if answer.whole() else face.FAILED if answer.code else (
-                face.TIMEOUT if ended == SILENT else face.RESET)
-            if answer.ready:
-                self._keep(place, conn)
-            else:
-                self._close(conn)
-        load = postgres.report((answer.row or b"").decode("latin-1")) if self.load_names else {}
-        self.counters.add(f"probes.{status}")
-        report.put((unit, status, self.scheduler.now() - began, load))
+    def _nonsense(self, fault: object) -> str:
+        self.counters.add("units_nonsense")
+        log.warning("a unit speaks nonsense", extra={"fault": fault})
+        return NONSENSE
 
     def _connection(self, place: Place, until: int) -> tuple[Connection | None, str]:
         """A clean idle one, else a new one; or why there is none. Nothing has run yet in either case."""
@@ -184,24 +189,17 @@
     def _welcomed(self, conn: Connection, until: int) -> str:
         if not conn.write(self.hello, until):
             return face.UNREACHED
-        buffer = conn.buffer
-        while True:
-            try:
-                found = postgres.frame(buffer.data, buffer.start, buffer.end, buffer.most)
-            except ProtocolError:
-                return face.UNREACHED
-            if found and found.end <= buffer.end:
-                buffer.start = found.end
-                if chr(found.kind) == "E":
-                    fields = postgres.fields_of_error(bytes(buffer.data[found.begin:found.end]))
-                    return face.BUSY if fields.get("C") == postgres.TURNED_AWAY else face.UNREACHED
-                if chr(found.kind) == "Z":
-                    return face.OK
-            elif found or conn.read(until) != GOT:
-                return face.UNREACHED
+        while not isinstance(found := self._message(conn, until, Mailbox(self.scheduler)), str):
+            letter = chr(found[0])
+            if letter == "Z":
+                return face.OK
+            if letter == "E":
+                code = postgres.fields_of_error(found[1]).get("C")
+                return face.BUSY if code == postgres.TURNED_AWAY else face.UNREACHED
+        return face.UNREACHED
 
     def _keep(self, place: Place, conn: Connection) -> None:
-        if place.gone or not conn.open or len(conn.buffer):
+        if place.gone:
             self._close(conn)
         else:
             place.idle.append((self.scheduler.now(), conn))
--- a/laurelcourse/settings.py
+++ b/laurelcourse/settings.py
@@ -64,8 +64,14 @@
 class Tree:
     """A nested mapping, read by path; numbers and lists may also stand in it as text."""
 
-    def __init__(self, root: Mapping) -> None:
-        self.root = root
+    def __init__(self, root: Mapping, name: str = "") -> None:
+        self.root, self.name = root, name
+
+    def branch(self, path: str) -> "Tree":
+        found = self.value(path)
+        if not isinstance(found, Mapping):
+            raise self.unreadable(path)
+        return Tree(found, f"{self.name}{path}.")
 
     def value(self, path: str) -> object:
         found: object = self.root
@@ -73,11 +79,11 @@
             try:
                 found = found[int(part) if isinstance(found, list) else part]
             except (KeyError, IndexError, TypeError, ValueError):
-                raise SettingsError(f"lacks the field '{path}'") from None
+                raise SettingsError(f"lacks the field '{self.name}{path}'") from None
         return found
 
     def unreadable(self, path: str) -> SettingsError:
-        return SettingsError(f"has an unreadable '{path}'")
+        return SettingsError(f"has an unreadable '{self.name}{path}'")
 
     def items(self, path: str) -> list:
         found = self.value(path)
@@ -118,14 +124,13 @@
             raise self.unreadable(path) from None
 
     def one_of(self, path: str, words: Mapping[str, str]) -> str:
-        word = self.value(path)
+        word = self.text(path)
         if word not in words:
             raise self.unreadable(path)
         return words[word]
 
 
-def route(tree: Tree, place: int) -> Route:
-    at = f"classes.{place}."
+def route(tree: Tree, at: str) -> Route:
     return Route(
         name=tree.text(at + "name"), objective=tree.micros(at + "aim"),
         timeout=tree.micros(at + "deadline"), earnings=tree.number(at + "worth"),
@@ -133,11 +138,10 @@
         group=tree.text(at + "group"), memory=tree.micros(at + "memory_span"))
 
 
-def decode(root: Mapping) -> Settings:
-    tree = Tree(root)
+def decode(tree: Tree) -> Settings:
     return Settings(
         me=tree.whole("me"), relays=tree.whole("balancers"), zone=tree.text("locality"),
-        routes=tuple(route(tree, place) for place in range(len(tree.items("classes")))),
+        routes=tuple(route(tree, f"classes.{place}.") for place in range(len(tree.items("classes")))),
         tick=tree.micros("tick"), max_tries=tree.whole("limits.max_attempts"),
         may_duplicate=tree.flag("limits.may_duplicate"), may_probe=tree.flag("limits.probes"),
         may_tell=tree.flag("limits.peer_messages"), may_name_return=tree.flag("limits.retry_after"),
