Integration tests over sockets; a message of impossible length no longer spins

Found by them: a length under four was answered again and again, since the parser's error left the buffer where it was (clients._talk); it is now a fault of framing, told once, and the connection closes. Found too: an answer without a length was taken for unfinished when it had ended (http.Response.ended), and the scheduler polled once more after its work was over.

--- a/laurelcourse/cli.py
+++ b/laurelcourse/cli.py
@@ -43,7 +43,7 @@
     """Read a configuration and say what is wrong with it, without serving."""
     found = read(path)
     click.echo(f"{path}: good: relay {found.name}, {len(found.settings.routes)} routes, "
-               f"{len(found.known.get('members', ()))} units known")
+               f"{len(found.known.entries)} units known")
 
 
 @main.command()
--- a/laurelcourse/net/clients.py
+++ b/laurelcourse/net/clients.py
@@ -10,7 +10,7 @@
 from laurelcourse.net.config import Config
 from laurelcourse.net.connection import ENDED, FULL, GOT, Connection
 from laurelcourse.net.counters import Counters
-from laurelcourse.net.postgres import ProtocolError, Statement
+from laurelcourse.net.postgres import FramingError, ProtocolError, Statement
 from laurelcourse.net.scheduler import MAIL, READ, SHUT, Mailbox, Scheduler
 from laurelcourse.net.units import OUTCOME, Try, Units
 from laurelcourse.settings import DEDUPED
@@ -111,7 +111,7 @@
                 else:
                     raise ProtocolError(postgres.VIOLATION, "not version 3 of the protocol")
             except ProtocolError as error:
-                self._fault(conn, error, fatal=True)
+                self._fault(conn, error)
                 return False
 
     def _talk(self, client: Client) -> None:
@@ -148,8 +148,10 @@
                 elif letter == "F":
                     raise ProtocolError(postgres.UNSUPPORTED, "no function calls")
                 else:
-                    self._fault(conn, ProtocolError(postgres.VIOLATION, "an unknown message"), fatal=True)
-                    return
+                    raise FramingError(postgres.VIOLATION, "an unknown message")
+            except FramingError as error:
+                self._fault(conn, error)
+                return
             except ProtocolError as error:
                 answer = self._refuse(error) + postgres.READY
             if answer is None or not conn.write(answer, self.scheduler.now() + self.limits.startup):
@@ -190,10 +192,11 @@
         self.counters.add(f"clients_faults.{error.code}")
         return postgres.error(error.code, str(error))
 
-    def _fault(self, conn: Connection, error: ProtocolError, fatal: bool) -> None:
+    def _fault(self, conn: Connection, error: ProtocolError) -> None:
+        """Says what is wrong, and hangs up."""
         self.counters.add(f"clients_faults.{error.code}")
         until = self.scheduler.now() + self.limits.stop_drain
-        conn.write(postgres.error(error.code, str(error), fatal=fatal), until)
+        conn.write(postgres.error(error.code, str(error), fatal=True), until)
         conn.close_gently(until)
 
     def _query(self, client: Client, payload: bytes) -> bytes | None:
--- a/laurelcourse/net/http.py
+++ b/laurelcourse/net/http.py
@@ -128,7 +128,7 @@
 
     def ended(self) -> None:
         """The other side closed: the end of a body without a length."""
-        self.done = self.head is not None and self.chunks is None and self.left is None
+        self.done |= self.head is not None and self.chunks is None and self.left is None
 
     def take(self) -> bytes:
         taken = bytes(self.body)
--- a/laurelcourse/net/postgres.py
+++ b/laurelcourse/net/postgres.py
@@ -27,6 +27,10 @@
         self.code = code
 
 
+class FramingError(ProtocolError):
+    """Nothing behind it can be told apart any more."""
+
+
 class Frame(NamedTuple):
     kind: int       # the type byte; 0 for a startup message
     begin: int      # of the payload
@@ -55,7 +59,7 @@
         return None
     length = LENGTH.unpack_from(data, start + head)[0]
     if length < (8 if startup else 4) or (startup and length > most):
-        raise ProtocolError(VIOLATION, "a message of impossible length")
+        raise FramingError(VIOLATION, "a message of impossible length")
     found = Frame(0 if startup else data[start], start + head + 4, start + head + length)
     return found if length > most or found.end <= end else None
 
--- a/laurelcourse/net/scheduler.py
+++ b/laurelcourse/net/scheduler.py
@@ -120,11 +120,13 @@
             self.ready.append((task, reason))
 
     def run(self, over: Callable[[], bool]) -> None:
-        while not over():
+        while True:
             for _ in range(len(self.ready)):
                 task, reason = self.ready.popleft()
                 task.woken = False
                 task.switch(reason)
+            if over():
+                return
             now = self.now()
             while self.heap and self.heap[0][0] <= now:
                 _, _, what, number = heapq.heappop(self.heap)
--- /dev/null
+++ b/tests/test_net.py
@@ -0,0 +1,151 @@
+"""Parsers with input split at every byte; the scheduler's waits."""
+
+import os
+import socket
+
+import pytest
+from conftest import IDLE, ROW, failure, pg, sql
+
+from laurelcourse import interface as face
+from laurelcourse.net import forms, http, postgres
+from laurelcourse.net.scheduler import IO, LATE, MAIL, READ, SHUT, Clock, Mailbox, Scheduler
+
+CHUNKED = (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+           b"5;x=1\r\nhello\r\nA\r\n0123456789\r\n0\r\nTrailer: x\r\n\r\n")
+
+
+@pytest.mark.parametrize("raw, status, body", [
+    (b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", 200, b"hello"), (CHUNKED, 200, b"hello0123456789"),
+    (b"HTTP/1.1 400 Bad Request\r\ncontent-length:0\r\n\r\n", 400, b""),
+    (b"HTTP/1.0 500 Broken\r\n\r\nrest", 500, b"rest")])
+def test_an_answer_is_the_same_however_it_is_split(raw: bytes, status: int, body: bytes) -> None:
+    for cut in range(len(raw) + 1):
+        for pieces in ((raw[:cut], raw[cut:]), [raw[at:at + 1] for at in range(len(raw))]):
+            found = http.Response(100)
+            for piece in pieces:
+                found.feed(piece)
+            found.ended()
+            assert found.done and found.head.status == status and found.take() == body
+
+
+@pytest.mark.parametrize("raw", [
+    b"HELLO\r\n\r\n", b"HTTP/1.1 abc Odd\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nmore",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 999\r\n\r\n" + bytes(200),
+    CHUNKED.replace(b"5;", b"g;"), CHUNKED.replace(b"hello\r\n", b"hello.."), CHUNKED.replace(b"5;", b"-5;"),
+    CHUNKED + b"more", b"x" * (1 << 15)])
+def test_a_bad_answer_is_refused(raw: bytes) -> None:
+    with pytest.raises(http.HttpError):
+        http.Response(100).feed(raw)
+
+
+def test_events_are_the_same_however_they_are_split() -> None:
+    raw = (b": life\n:\n\nevent: one\ndata: a=1&b=2\n\ndata: x\ndata: y\r\n\r\n"
+           b"event: none\n\nid: 3\ndata:z\n\n")
+    whole = [("one", "a=1&b=2"), ("", "x\ny"), ("", "z")]
+    for cut in range(len(raw) + 1):
+        events = http.Events(100)
+        assert events.feed(raw[:cut]) + events.feed(raw[cut:]) == whole
+    with pytest.raises(http.HttpError):
+        http.Events(100).feed(bytes(101))
+
+
+def test_frames_wait_for_their_last_byte() -> None:
+    raw = pg(b"Q", b"text\0")
+    for end in range(len(raw)):
+        assert postgres.frame(raw, 0, end, 100) is None
+    assert postgres.frame(raw + b"X", 0, len(raw) + 1, 100) == (ord("Q"), 5, len(raw))
+    assert postgres.frame(pg(b"Q", bytes(200))[:5], 0, 5, 100).end == 205
+    with pytest.raises(postgres.ProtocolError):
+        postgres.frame(b"Q\0\0\0\3", 0, 5, 100)
+
+
+@pytest.mark.parametrize("raw, whole, code, ready", [
+    (ROW + IDLE, ROW, "", True), (failure("53300") + IDLE, None, "53300", True), (ROW, ROW, "", False),
+    (failure("XX000"), None, "XX000", False)])
+def test_a_units_answer(raw: bytes, whole: bytes | None, code: str, ready: bool) -> None:
+    answer, at = postgres.Answer(), 0
+    while found := postgres.frame(raw, at, len(raw), 1000):
+        answer.take(found.kind, raw[found.begin:found.end], "gauges")
+        at = found.end
+    assert (answer.whole(), answer.code, answer.ready) == (whole, code, ready)
+
+
+def test_a_statement_passes_on_but_for_its_time() -> None:
+    text = sql("mark", 480, ",r=1,novel=7")
+    found = postgres.statement(text.encode())
+    assert (found.route, found.left_ms, found.mark, found.repeated) == ("mark", 480, "5c0f6e1a2b3d4c59", True)
+    assert found.waiting(17) == pg(b"Q", text.replace("d=480", "d=17").encode() + b"\0")
+
+
+@pytest.mark.parametrize("status, body, end", [
+    (200, "<Response><results><item><build>42</build><stage>1</stage><phase>Aborting</phase><cap>0.28</cap>"
+          "<age_ms>310</age_ms></item></results></Response>",
+     (face.COUNTED, (42, 1, face.GOING_BACK, 0.28, 310_000))),
+    (400, "<Error><Code>limit</Code></Error>", (face.REFUSED, forms.NOWHERE)),
+    (400, "<Error><Code>moot</Code></Error>", (face.VOID, forms.NOWHERE)),
+    (500, "<Error><Code>error</Code></Error>", (face.BROKE, forms.NOWHERE)),
+    (400, "<Error><Code>malformed</Code></Error>", (face.BROKE, forms.NOWHERE)),
+    (200, "<Response/>", None), (200, "<Resp", None), (503, "<Error><Code>novel</Code></Error>", None)])
+def test_the_ends_of_a_vote(status: int, body: str, end: tuple | None) -> None:
+    if end is None:
+        with pytest.raises(forms.FormError):
+            forms.end_of_vote(status, body.encode())
+    else:
+        assert forms.end_of_vote(status, body.encode()) == end
+
+
+@pytest.fixture
+def scheduler() -> Scheduler:
+    return Scheduler(Clock(), lambda: None)
+
+
+def test_one_wait_leaves_nothing_behind_for_the_next(scheduler: Scheduler) -> None:
+    near, far = socket.socketpair()
+    found, box = [], Mailbox(scheduler)
+
+    def wait() -> None:
+        for _ in range(2):
+            began = scheduler.now()
+            reason = scheduler.wait(near.fileno(), READ, box, began + 20_000)
+            found.append((reason, scheduler.now() - began >= 20_000))
+        far.send(b"x")
+        box.put(1)
+        found.append(scheduler.wait(near.fileno(), READ, until=scheduler.now() + 20_000))
+        found.append(scheduler.wait(near.fileno(), READ, box, scheduler.now() + 20_000))
+    task = scheduler.spawn("wait", wait)
+    scheduler.run(lambda: task.dead)
+    assert found == [(LATE, True), (LATE, True), IO, MAIL] and not scheduler.waiting
+
+
+def test_a_closed_descriptor_wakes_its_own_task_alone(scheduler: Scheduler) -> None:
+    near, far = socket.socketpair()
+    other, sender = socket.socketpair()
+    found = []
+
+    def first() -> None:
+        found.append(scheduler.wait(near.fileno(), READ))
+
+    def second() -> None:
+        number = near.fileno()
+        scheduler.forget(number)
+        near.close()
+        os.dup2(other.fileno(), number)
+        found.append(scheduler.wait(number, READ, until=scheduler.now() + 20_000))
+        sender.send(b"x")
+        found.append(scheduler.wait(number, READ, until=scheduler.now() + 1_000_000))
+        os.close(number)
+    scheduler.spawn("first", first)
+    task = scheduler.spawn("second", second)
+    scheduler.run(lambda: task.dead)
+    assert found == [SHUT, LATE, IO] and far.fileno() > 0
+
+
+def test_a_task_that_dies_takes_nothing_with_it() -> None:
+    died = []
+    scheduler = Scheduler(Clock(), lambda: died.append(1))
+    scheduler.spawn("dies", lambda: 1 // 0)
+    scheduler.after(0, lambda: 1 // 0)
+    task = scheduler.spawn("lives", scheduler.sleep, 5000)
+    scheduler.run(lambda: task.dead)
+    assert died == [1, 1]
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,332 @@
+"""The program as started, spoken to over sockets."""
+
+import json
+import re
+import socket
+import struct
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+
+import pytest
+from conftest import (
+    IDLE,
+    OUTSIDE,
+    ROOT,
+    ROW,
+    DeployerStand,
+    DirectoryStand,
+    PgClient,
+    Served,
+    UnitStand,
+    pg,
+    sql,
+    until,
+)
+
+from laurelcourse import VERSION, messages
+
+COMPLETED, SHED, ERRORED = ("TDCZ", ""), ("EZ", "53300"), ("EZ", "58000")
+
+
+@pytest.fixture(scope="module")
+def shared(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Served]:
+    served = Served(tmp_path_factory.mktemp("shared"))
+    yield served
+    served.close()
+
+
+@pytest.mark.parametrize("route", ["read", "mark", "once"])
+@pytest.mark.parametrize("mode", ["ok", "noisy", "unready"])
+def test_a_completed_req_passes_on_statement_and_row_as_they_came(
+        shared: Served, route: str, mode: str) -> None:
+    asked, before = sql(route, 1500, ",r=1"), len(shared.queries())
+    for unit in shared.units:
+        unit.mode = mode
+    letters, code, row = shared.client().ask(asked)
+    assert (letters, code) == COMPLETED and pg(b"D", row) in ROW
+    sent = shared.queries()
+    assert len(sent) == before + 1
+    found = next(query for query in sent if re.sub(r"\bd=\d+", "d=1500", query) == asked)
+    assert 1000 < int(re.search(r"\bd=(\d+)", found)[1]) <= 1500
+
+
+@pytest.mark.parametrize("mode, route, end, queries", [
+    ("busy", "once", SHED, 3), ("busy", "mark", SHED, 3), ("failed", "once", ERRORED, 1),
+    ("failed", "read", SHED, 3), ("reset", "once", ERRORED, 1), ("reset", "read", SHED, 3),
+    ("silent", "once", ERRORED, 1), ("nonsense", "once", ERRORED, 1), ("twice", "once", ERRORED, 1),
+    ("torn", "once", ERRORED, 1),
+    ("shape", "once", ERRORED, 1), ("early", "once", SHED, 0), ("full", "once", SHED, 0),
+    ("mute", "once", SHED, 0), ("closed", "once", SHED, 0)])
+def test_what_may_have_run_is_told_from_what_never_ran(
+        serve: Callable[..., Served], mode: str, route: str, end: tuple, queries: int) -> None:
+    served = serve(modes=mode)
+    for unit in served.units:
+        if mode == "closed":
+            unit.close()
+    began = time.monotonic()
+    assert served.client().ask(sql(route, 900))[:2] == end
+    assert time.monotonic() - began < 1.0
+    assert len(served.queries()) == queries
+
+
+def test_the_directory_moves_reqs_between_units(serve: Callable[..., Served]) -> None:
+    served, moved = serve(units=1), UnitStand()
+    client, (first,) = served.client(), served.units
+    assert client.ask(sql())[:2] == COMPLETED
+    served.directory.put("s-0", moved.at)
+    until(lambda: client.ask(sql())[:2] == COMPLETED and moved.queries)
+    other = UnitStand()
+    served.directory.put("s-0", moved.at, phase="leaving")
+    served.directory.put("s-1", other.at)
+    until(lambda: client.ask(sql())[:2] == COMPLETED and other.queries)
+    before = len(first.queries), len(moved.queries)
+    for _ in range(20):
+        assert client.ask(sql())[:2] == COMPLETED
+    assert (len(first.queries), len(moved.queries)) == before
+
+
+def test_a_client_that_goes_away_ends_its_req(serve: Callable[..., Served]) -> None:
+    served = serve(modes="silent")
+    client = served.client()
+    client.send(sql("once", 800))
+    until(served.queries)
+    client.sock.close()
+    client.stream.close()
+    until(lambda: served.count("reqs.once.withdrawn") == 1)
+    assert served.count("module_faults") == 0 and len(served.queries()) == 1
+
+
+def test_queries_come_in_any_pieces_and_are_answered_in_order(shared: Served) -> None:
+    for unit in shared.units:
+        unit.mode = "ok"
+    one = shared.client(first=pg(b"Q", b"\0"))
+    assert one.answer()[0] == "IZ"
+    for byte in pg(b"Q", sql().encode() + b"\0"):
+        one.sock.sendall(bytes((byte,)))
+    assert one.answer()[:2] == COMPLETED
+    for words in (sql(), "", "HELLO", sql("mark")):
+        one.send(words)
+    assert [one.answer()[0] for _ in range(4)] == ["TDCZ", "IZ", "EZ", "TDCZ"]
+    large = sql("mark").replace("9f03", "9f" * 65536)
+    assert one.ask(large)[:2] == COMPLETED
+    one.sock.sendall(pg(b"X"))
+    assert one.answer()[0] == ""
+
+
+def test_startup_variants(shared: Served) -> None:
+    with socket.create_connection(("127.0.0.1", shared.port)) as raw:
+        raw.settimeout(5)
+        for code in (80877103, 80877104):
+            raw.sendall(struct.pack("!II", 8, code))
+            assert raw.recv(1) == b"N"
+        raw.sendall(struct.pack("!IIII", 16, 80877102, 1, 2))
+        assert raw.recv(1) == b""
+    for bad in (struct.pack("!II", 8, 2 << 16), struct.pack("!II", 3, 0), struct.pack("!II", 1 << 30, 0)):
+        with socket.create_connection(("127.0.0.1", shared.port)) as raw:
+            raw.settimeout(5)
+            raw.sendall(bad)
+            assert b"C08P01" in raw.recv(1000)
+
+
+@pytest.mark.parametrize("raw, letters, code, kept", [
+    (pg(b"Q", b"DROP TABLE rows\0"), "EZ", "42601", True),
+    (pg(b"Q", sql().replace(",c=read", "").encode() + b"\0"), "EZ", "22023", True),
+    (pg(b"Q", sql("unheard").encode() + b"\0"), "EZ", "22023", True),
+    (pg(b"Q", sql("mark").replace(",k=", ",x=").encode() + b"\0"), "EZ", "22023", True),
+    (pg(b"Q", sql(wait=0).encode() + b"\0"), "EZ", "22003", True),
+    (pg(b"Q", sql(wait=10 ** 9).encode() + b"\0"), "EZ", "22003", True),
+    (pg(b"Q", sql().replace("d=2000", "d=soon").encode() + b"\0"), "EZ", "22003", True),
+    (pg(b"Q", sql().encode()), "EZ", "08P01", True),
+    (pg(b"Q", sql("mark").replace("9f03", "9f0").encode() + b"\0"), "EZ", "42601", True),
+    (pg(b"Q", b"x" * 500_000), "EZ", "54000", True),
+    (pg(b"P", b"\0SELECT\0\0\0") + pg(b"B") + pg(b"E") + pg(b"S"), "EZ", "0A000", True),
+    (pg(b"F"), "EZ", "0A000", True),
+    (pg(b"~"), "E", "08P01", False), (b"Q\0\0\0\1", "E", "08P01", False)])
+def test_bad_input_gets_its_error_and_reaches_no_unit(
+        shared: Served, raw: bytes, letters: str, code: str, kept: bool) -> None:
+    for unit in shared.units:
+        unit.mode = "ok"
+    before, client = len(shared.queries()), shared.client()
+    faults = shared.count(f"clients_faults.{code}")
+    client.sock.sendall(raw)
+    if kept:
+        assert client.answer()[:2] == (letters, code)
+        assert client.ask(sql())[:2] == COMPLETED
+    else:
+        assert client.answer()[:2] == ("E", code) and client.stream.read() == b""
+    assert len(shared.queries()) == before + kept
+    assert shared.count(f"clients_faults.{code}") == faults + 1
+
+
+def test_a_relay_serves_without_directory_and_deployer(serve: Callable[..., Served]) -> None:
+    served = serve(down=True)
+    assert served.client(first=pg(b"Q", b"\0")).answer()[0] == "IZ"
+    assert served.client().ask(sql())[:2] == COMPLETED
+    late = UnitStand()
+    directory, deployer = (stand(old.port) for stand, old in (
+        (DirectoryStand, served.directory), (DeployerStand, served.deployer)))
+    directory.revision = 9
+    directory.put("s-9", late.at)
+    until(lambda: served.client().ask(sql())[:2] == COMPLETED and late.queries)
+    until(lambda: deployer.streams)
+    for stand in (directory, deployer):
+        stand.close()
+    assert "Traceback" not in served.log.read_text()
+
+
+@pytest.mark.parametrize("mode", ["silent", "status", "json", "fields"])
+def test_a_directory_that_speaks_badly_leaves_the_last_list(serve: Callable[..., Served], mode: str) -> None:
+    served = serve()
+    until(lambda: served.directory.calls)
+    served.directory.mode = mode
+    served.directory.revision += 1
+    until(lambda: served.count("directory_failed") > 2)
+    assert served.client().ask(sql())[:2] == COMPLETED
+    late = UnitStand()
+    served.directory.put("s-9", late.at)
+    served.directory.mode = "ok"
+    until(lambda: served.client().ask(sql())[:2] == COMPLETED and late.queries)
+    assert served.log.read_text().count("directory fails") == 1
+
+
+TRIAL = "build=2&stage=0&phase=Progressing&cap=1&age_ms=9000"
+
+
+@pytest.mark.parametrize("mode, end", [
+    ("ok", "counted"), ("limit", "refused"), ("moot", "void"), ("error", "broke"), ("silent", "unanswered"),
+    ("novel", "unanswered"), ("closed", "broke")])
+def test_a_failing_build_is_voted_back_and_each_end_of_a_vote_is_told(
+        serve: Callable[..., Served], mode: str, end: str) -> None:
+    served = serve(units=4, builds=(1, 1, 2, 2), news=TRIAL)
+    served.deployer.mode = mode
+    for unit in served.units[2:]:
+        unit.mode = "failed"
+    until(lambda: served.deployer.streams)
+    if mode == "closed":
+        served.deployer.close()
+    client = served.client()
+
+    def voted() -> bool:
+        assert client.ask(sql())[:2] in (COMPLETED, SHED)
+        return served.count(f"votes.{end}") > 0
+    until(voted)
+    verdicts = {(vote["Action"], vote["build"], vote["verdict"]) for vote in served.deployer.votes}
+    assert mode == "closed" or ("CastVote", "2", "stop") in verdicts
+
+
+def test_a_lost_notices_stream_is_opened_anew(serve: Callable[..., Served]) -> None:
+    served = serve(units=4, builds=(1, 1, 2, 2), news=TRIAL.replace("cap=1", "cap=0").replace(
+        "Progressing", "Aborting"))
+    until(lambda: served.deployer.streams)
+    client = served.client()
+    for _ in range(20):
+        assert client.ask(sql())[:2] == COMPLETED
+    assert not served.units[2].queries and not served.units[3].queries
+    served.deployer.news = TRIAL.replace("Progressing", "Healthy")
+    served.deployer.tell("event: progress\ndata: build=soon\n\nevent: metrics\ndata: class=read&build=2\n\n")
+    served.deployer.streams.pop().shutdown(socket.SHUT_RDWR)
+    until(lambda: client.ask(sql())[:2] == COMPLETED and served.units[2].queries)
+    assert served.count("notices_unreadable") == 2
+
+
+def test_datagrams_of_peers_alone_are_heard(serve: Callable[..., Served]) -> None:
+    served = serve()
+    assert 2 <= len(served.peer.recv(1000)) <= messages.MOST
+    body, to = messages.pack_loads([]), ("127.0.0.1", served.udp)
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as stranger:
+        stranger.sendto(body, to)
+    served.peer.sendto(bytes(messages.MOST + 1), to)
+    served.peer.sendto(body, to)
+    served.peer.sendto(b"\0", to)
+    until(lambda: served.count("datagrams_heard") == 2)
+    assert served.count("datagrams_ignored") == 2 and served.count("module_faults") == 0
+
+
+def test_sigterm_answers_what_was_taken_and_leaves_with_zero(serve: Callable[..., Served]) -> None:
+    served = serve(modes="slow0.9")
+    busy, idle = served.client(), served.client()
+    busy.send(sql("once"))
+    until(served.queries)
+    served.process.terminate()
+    until(lambda: "msg=stopping" in served.log.read_text())
+    late = served.client()
+    late.send(sql("once"))
+    assert idle.answer()[0] == "" and served.process.poll() is None
+    assert busy.answer()[:2] == COMPLETED and late.answer()[:2] == COMPLETED
+    assert served.process.wait(5) == 0
+    assert "reqs.once.completed=2" in served.log.read_text().splitlines()[-1]
+
+
+def test_no_descriptors_left_is_met_without_a_spin(serve: Callable[..., Served]) -> None:
+    served = serve(files=24)
+    first = served.client()
+    assert first.ask(sql())[:2] == COMPLETED
+    crowd = [socket.create_connection(("127.0.0.1", served.port)) for _ in range(40)]
+    until(lambda: served.count("clients_no_descriptor"))
+    ticks = lambda: sum(map(int, Path(f"/proc/{served.process.pid}/stat").read_text().split()[13:15]))  # noqa: E731
+    before = ticks()
+    time.sleep(0.5)
+    assert ticks() - before < 25
+    for sock in crowd:
+        sock.close()
+    assert first.ask(sql())[:2] in (COMPLETED, SHED)
+    assert served.client().ask(sql())[:2] == COMPLETED
+
+
+def test_clients_beyond_the_limit_wait_their_turn(serve: Callable[..., Served]) -> None:
+    served = serve(sockets=60)
+    crowd = [served.client() for _ in range((60 - 60 // 8 - 16) // 2)]
+    with socket.create_connection(("127.0.0.1", served.port)) as waiting:
+        assert crowd[0].ask(sql())[:2] == COMPLETED
+        assert served.count("clients_accepted") == len(crowd)
+        crowd.pop().sock.sendall(pg(b"X"))
+        until(lambda: served.count("clients_accepted") == len(crowd) + 2)
+        waiting.close()
+
+
+def program(*words: str) -> subprocess.CompletedProcess:
+    return subprocess.run([sys.executable, "-B", "-m", "laurelcourse", *words], cwd=ROOT,
+                          capture_output=True, check=False, timeout=10)
+
+
+@pytest.mark.parametrize("change, said", [
+    (lambda config: config.pop("listen"), "lacks the field 'listen'"),
+    (lambda config: config["settings"].pop("tick"), "lacks the field 'settings.tick'"),
+    (lambda config: config.update(discovery="nowhere"), "unreadable 'discovery'"),
+    (lambda config: config["pipeline"]["news"].update(phase="Gone"), "'pipeline.news'"),
+    (lambda config: config["known"].pop("members"), "'known'"),
+    (lambda config: config["settings"]["classes"][1].update(effect="odd"), "'settings.classes.1.effect'"),
+    (lambda config: config.update(seed="xyz"), "unreadable 'seed'"), (None, "is not JSON")])
+@pytest.mark.parametrize("command", ["serve", "check"])
+def test_a_bad_configuration_is_one_plain_line_and_exit_2(
+        shared: Served, tmp_path: Path, change: Callable | None, said: str, command: str) -> None:
+    config = json.loads(json.dumps(shared.config))
+    if change:
+        change(config)
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(config) if change else "{")
+    done = program(command, "--config", str(path))
+    error = done.stderr.decode()
+    assert done.returncode == 2 and str(path) in error and said in error and error.count("\n") == 1
+
+
+def test_check_and_version_say_what_is_there(shared: Served) -> None:
+    routes = len(OUTSIDE["classes"])
+    for words, said in ((["check", "--config", str(shared.path)], f"{routes} routes, 2 units"),
+                        (["version"], VERSION), (["--help"], "serve")):
+        done = program(*words)
+        assert done.returncode == 0 and said in done.stdout.decode()
+
+
+def test_a_clients_answer_is_whole_where_the_client_is_slow_to_read(shared: Served) -> None:
+    for unit in shared.units:
+        unit.mode = "ok"
+    slow: PgClient = shared.client()
+    for _ in range(200):
+        slow.send(sql())
+    assert shared.client().ask(sql())[:2] == COMPLETED
+    assert [slow.answer()[0] for _ in range(200)] == ["TDCZ"] * 200
+    assert IDLE and slow.sock.fileno() > 0
