Clients beyond the limit are told so at once; fewer changes of the poll object

The listener stopped accepting at its limit (clients.listen), and what waited in the backlog counted as taken. Ruled out: module faults and dead tasks (none logged), descriptors (859 of 1,024). Clients over the limit now get 53300 and are closed. CPU is the limit there: one core is full; next is CPU a req.

--- a/laurelcourse/net/clients.py
+++ b/laurelcourse/net/clients.py
@@ -38,16 +38,13 @@
         self.units, self.counters = units, counters
         self.repeats = {route.name: route.repeat for route in config.settings.routes}
         self.open: set[Client] = set()
-        self.freed = Mailbox(scheduler)
         self.listener: socket.socket | None = None
         self.accepted_at = 0
 
     def listen(self, sock: socket.socket) -> None:
         self.listener = sock
         while self.listener:
-            if len(self.open) >= self.limits.clients:
-                self.freed.get()
-            elif self.scheduler.wait(sock.fileno(), READ) != SHUT:
+            if self.scheduler.wait(sock.fileno(), READ) != SHUT:
                 self._accept(sock, self.limits.accepts)
 
     def close_listener(self) -> None:
@@ -75,20 +72,19 @@
             self.counters.add("clients_accepted")
             client = Client(Connection(self.scheduler, accepted, self.limits), Mailbox(self.scheduler))
             self.open.add(client)
-            self.scheduler.spawn("client", self._serve, client)
+            self.scheduler.spawn(self._serve, client)
 
     def _serve(self, client: Client) -> None:
         try:
-            if self._startup(client):
+            if self._startup(client) and not self._crowded(client):
                 self._talk(client)
         finally:
             client.conn.close()
             self.open.discard(client)
-            if not self.freed.items:
-                self.freed.put(None)
 
     def _startup(self, client: Client) -> bool:
-        conn, buffer, until = client.conn, client.conn.buffer, self.scheduler.now() + self.limits.startup
+        conn, buffer = client.conn, client.conn.buffer
+        until = self.scheduler.now() + self.limits.patience
         while True:
             try:
                 found = postgres.frame(buffer.data, buffer.start, buffer.end, buffer.usual, startup=True)
@@ -114,6 +110,14 @@
                 self._fault(conn, error)
                 return False
 
+    def _crowded(self, client: Client) -> bool:
+        """Beyond the limit a client is told so at once: one left waiting unaccepted would be lost."""
+        if len(self.open) <= self.limits.clients:
+            return False
+        self.open.discard(client)
+        self._fault(client.conn, ProtocolError(postgres.TURNED_AWAY, "too many connections"))
+        return True
+
     def _talk(self, client: Client) -> None:
         conn, buffer, skipping, turn = client.conn, client.conn.buffer, False, 0
         while True:
@@ -154,7 +158,7 @@
                 return
             except ProtocolError as error:
                 answer = self._refuse(error) + postgres.READY
-            if answer is None or not conn.write(answer, self.scheduler.now() + self.limits.startup):
+            if answer is None or not conn.write(answer):
                 return
 
     def _more(self, client: Client) -> bool:
@@ -180,7 +184,7 @@
 
     def _skip(self, conn: Connection, count: int) -> bool:
         """Passes over a message too long to hold, so that the framing stands behind it."""
-        until = self.scheduler.now() + self.limits.startup
+        until = self.scheduler.now() + self.limits.patience
         while count > len(conn.buffer):
             count -= len(conn.buffer.take())
             if conn.read(until) != GOT:
@@ -217,7 +221,7 @@
     def _await(self, client: Client, statement: Statement) -> bytes | None:
         """The answer to a req, with an eye on the client meanwhile; None if it went away."""
         box = Mailbox(self.scheduler)
-        self.scheduler.spawn("req", self._live, statement, box, client.box)
+        self.scheduler.spawn(self._live, statement, box, client.box)
         reason = GOT
         while True:
             if reason == FULL:
--- a/laurelcourse/net/connection.py
+++ b/laurelcourse/net/connection.py
@@ -74,9 +74,8 @@
         """Waits for bytes or mail: GOT, MAIL, LATE, ENDED, or FULL when the buffer holds its most."""
         if not self.open:
             return ENDED
-        with self.buffer.room() as room:
-            if not room:
-                return FULL
+        if len(self.buffer) == self.buffer.most:
+            return FULL
         reason = self.scheduler.wait(self.fd, READ, box, until)
         if reason in (MAIL, LATE):
             return reason
@@ -97,17 +96,18 @@
         return GOT if count else ENDED
 
     def write(self, data: bytes, until: int | None = None) -> bool:
-        """Whether the last byte was written."""
-        view = memoryview(data)
-        while view and self.open:
+        """Whether the last byte was written; without a deadline, the limits' patience is one."""
+        written = 0
+        while written < len(data) and self.open:
             try:
-                view = view[self.sock.send(view):]
+                written += self.sock.send(memoryview(data)[written:] if written else data)
             except BlockingIOError:
+                until = until or self.scheduler.now() + self.limits.patience
                 if self.scheduler.wait(self.fd, WRITE, until=until) == LATE:
                     return False
             except OSError:
                 return False
-        return not view
+        return written == len(data)
 
     def clean(self) -> bool:
         """Nothing unread, and not closed by the other side."""
--- a/laurelcourse/net/deployer.py
+++ b/laurelcourse/net/deployer.py
@@ -40,7 +40,7 @@
         self.pauses = Pauses(config.limits, config.seed, "notices stream")
 
     def vote(self, build: int, stage: int, verdict: int) -> None:
-        self.scheduler.spawn("vote", self._vote, build, stage, verdict)
+        self.scheduler.spawn(self._vote, build, stage, verdict)
 
     def _vote(self, build: int, stage: int, verdict: int) -> None:
         """Each vote has a connection of its own: a late answer can't pass for a later vote's."""
@@ -80,7 +80,7 @@
             elif tried is None and (held is None or now - held.heard >= silence):
                 tried = Stream(now)
                 self.counters.add("notices_opened")
-                self.scheduler.spawn("notices", self._hear, tried)
+                self.scheduler.spawn(self._hear, tried)
             elif self.scheduler.wait(box=self.changed, until=(tried or held).heard + silence) != LATE:
                 self.changed.get()
 
--- a/laurelcourse/net/forms.py
+++ b/laurelcourse/net/forms.py
@@ -110,7 +110,7 @@
     if status == 200:
         item = root.find("results/item")
         return face.COUNTED, state({part.tag: part.text for part in (item if item is not None else ())})
-    code = root.findtext("Code")
+    code = root.findtext(".//Code")
     if code not in ENDS:
         raise FormError(f"status {status} with code {code}")
     return ENDS[code], NOWHERE
--- a/laurelcourse/net/limits.py
+++ b/laurelcourse/net/limits.py
@@ -8,7 +8,7 @@
 
 
 class Limits(NamedTuple):
-    clients: int              # open client connections
+    clients: int              # open client connections that are served
     upstream: int             # open connections to units
     backlog: int
     accepts: int              # accepted, or datagrams read, in one turn
@@ -19,7 +19,7 @@
     datagram: int
     connect: int              # until a connection to a unit is up
     idle: int                 # a connection to a unit is not reused after this
-    startup: int              # a client's startup, an HTTP peer's connection
+    patience: int             # for another's part in a startup, a write, a message passed over
     watch: int                # how long a watch of the directory may wait
     watch_grace: int          # and how much later its answer may come
     silence: int              # a notices stream without a sign of life
@@ -31,15 +31,16 @@
 
 
 def limits(tree: Tree) -> Limits:
-    """Shares the descriptors out: an eighth and 16 in reserve, the rest for clients and units alike."""
+    """Shares the descriptors out: an eighth, 16 and a sixteenth of the rest in reserve, where
+    clients beyond their part are told so."""
     sockets, memory = tree.whole("limits.sockets"), tree.whole("limits.memory_mb") << 20
     shared = max(sockets - sockets // 8 - 16, 8)
     message = min(160 << 10, memory >> 10)
     idle = tree.micros("settings.limits.conn_idle")
     return Limits(
-        clients=shared // 2, upstream=shared // 2, backlog=min(sockets, 1024), accepts=32,
+        clients=shared * 9 // 16, upstream=shared * 3 // 8, backlog=min(sockets, 1024), accepts=128,
         buffer_usual=1 << 12, buffer_most=message + (1 << 12), message=message, body=1 << 22, datagram=256,
         connect=tree.micros("settings.limits.connect_timeout"), idle=idle - min(idle // 10, SECOND),
-        startup=5 * SECOND, watch=5 * SECOND, watch_grace=SECOND, silence=3 * SECOND,
+        patience=5 * SECOND, watch=5 * SECOND, watch_grace=SECOND, silence=3 * SECOND,
         pause_first=SECOND // 20, pause_most=SECOND, stop_quiet=3 * SECOND // 10,
         stop_accept=6 * SECOND // 10, stop_drain=SECOND // 2)
--- a/laurelcourse/net/postgres.py
+++ b/laurelcourse/net/postgres.py
@@ -137,10 +137,13 @@
               ("standard_conforming_strings", "on"), ("integer_datetimes", "on"), ("DateStyle", "ISO, MDY"))
 
 
+TOLD = b"".join(message(b"S", f"{name}\0{value}\0".encode()) for name, value in PARAMETERS)
+WELCOME = message(b"R", WORD.pack(0)) + TOLD + message(b"K", bytes(8)) + READY
+
+
 def welcome(minor: int) -> bytes:
-    newer = message(b"v", WORD.pack(0) + WORD.pack(0)) if minor else b""
-    told = b"".join(message(b"S", f"{name}\0{value}\0".encode()) for name, value in PARAMETERS)
-    return newer + message(b"R", WORD.pack(0)) + told + message(b"K", bytes(8)) + READY
+    """Of a newer minor version the client is told that this one holds."""
+    return (message(b"v", bytes(8)) if minor else b"") + WELCOME
 
 
 def fields_of_error(payload: bytes) -> dict[str, str]:
@@ -153,19 +156,6 @@
     return name.decode("latin-1"), value.decode("latin-1")
 
 
-def columns(payload: bytes) -> int:
-    """Of a row or its description."""
-    return SHORT.unpack_from(payload)[0] if len(payload) >= 2 else 0
-
-
-def value(payload: bytes) -> bytes | None:
-    """The one column of a row; None if it is null or the row has another shape."""
-    if len(payload) < 6 or columns(payload) != 1:
-        return None
-    length = WORD.unpack_from(payload, 2)[0]
-    return payload[6:] if length == len(payload) - 6 else None
-
-
 def report(words: str) -> dict[str, float]:
     """A load report: `name=number` set apart by commas; what can't be read is passed over."""
     found = {}
@@ -181,43 +171,41 @@
 class Answer:
     """What a unit answers to one query, message by message."""
 
-    __slots__ = ("code", "kept", "load", "ready", "row", "stage", "words")
+    __slots__ = ("code", "kept", "load", "ready", "stage")
 
     def __init__(self) -> None:
         self.kept: list[bytes] = []
-        self.stage, self.code, self.words = "", "", ""
-        self.row: bytes | None = None
+        self.stage = self.code = ""
         self.ready = False
         self.load: dict[str, float] = {}
 
-    def take(self, kind: int, payload: bytes, parameter_of_load: str) -> None:
+    def take(self, raw: bytes, parameter_of_load: str) -> None:
         """One message; raises on what no answer may hold."""
-        letter = chr(kind)
-        if letter in "NA":
-            return
-        if letter == "S":
-            name, words = parameter(payload)
-            if name == parameter_of_load:
-                self.load = report(words)
-            return
-        if letter == "Z":
+        letter = raw[:1]
+        if letter in b"TDC":
+            self.stage += letter.decode()
+            if self.code or not "TDC".startswith(self.stage):
+                raise ProtocolError(VIOLATION, f"message {letter!r} out of place")
+            # One column; the row's is as long as the message says, and not null.
+            if letter != b"C" and (raw[5:7] != b"\0\1" or (letter == b"D" and (
+                    len(raw) < 11 or WORD.unpack_from(raw, 7)[0] != len(raw) - 11))):
+                raise ProtocolError(VIOLATION, "a row of another shape")
+            self.kept.append(raw)
+        elif letter == b"Z":
             self.ready = bool(self.code) or self.stage == "TDC"
             if not self.ready:
                 raise ProtocolError(VIOLATION, "ready without a whole answer")
-            return
-        if letter == "E":
-            fields = fields_of_error(payload)
-            self.code, self.words = fields.get("C", SYSTEM), fields.get("M", "")
-            return
-        self.stage += letter
-        if self.code or not "TDC".startswith(self.stage):
+        elif letter == b"E":
+            self.code = fields_of_error(raw[5:]).get("C", SYSTEM)
+        elif letter == b"S":
+            name, words = parameter(raw[5:])
+            self.load = report(words) if name == parameter_of_load else self.load
+        elif letter not in b"NA":
             raise ProtocolError(VIOLATION, f"message {letter!r} out of place")
-        if letter == "D":
-            self.row = value(payload)
-        if (letter == "T" and columns(payload) != 1) or (letter == "D" and self.row is None):
-            raise ProtocolError(VIOLATION, "a row of another shape")
-        self.kept.append(message(letter.encode(), payload))
 
     def whole(self) -> bytes | None:
         """The row as it came, for the client."""
         return b"".join(self.kept) if self.stage == "TDC" and not self.code else None
+
+    def row(self) -> bytes:
+        return self.kept[1][11:] if len(self.kept) > 1 else b""
--- a/laurelcourse/net/relay.py
+++ b/laurelcourse/net/relay.py
@@ -1,5 +1,6 @@
 """The relay as a whole: start, stop, wiring."""
 
+import gc
 import logging
 import os
 import signal
@@ -51,14 +52,17 @@
         listener.bind(self.config.listen)
         if self.config.peer_listen:
             self.relays.bind(self.config.peer_listen)
-            self.scheduler.spawn("relays", self.relays.hear)
+            self.scheduler.spawn(self.relays.hear)
         self.units.listed(self.config.known.entries, True)
         self.choices.start([listed for listed, _ in self.config.known.entries], self.config.news)
         listener.listen(self.limits.backlog)
-        for name, work in (("clients", lambda: self.clients.listen(listener)), ("sweep", self.units.sweep),
-                           ("directory", self.directory.follow), ("deployer", self.deployer.keep_hearing),
-                           ("probes", self._hear_probes), ("signals", lambda: self._signals(wakeup))):
-            self.scheduler.spawn(name, work)
+        self.scheduler.spawn(self.clients.listen, listener)
+        self.scheduler.spawn(self._signals, wakeup)
+        for work in (self.units.sweep, self.directory.follow, self.deployer.keep_hearing, self._hear_probes):
+            self.scheduler.spawn(work)
+        # Reqs leave no cycles behind: looking for them often costs CPU that reqs need.
+        gc.freeze()
+        gc.set_threshold(50_000, 20, 50)
         log.info("serving", extra={"name_of_relay": self.config.name, "pid": os.getpid()})
         self.scheduler.run(lambda: self.over)
         log.info("counters", extra=self.counters.fields())
@@ -73,9 +77,9 @@
             for number in wakeup.recv(64):
                 if number == signal.SIGUSR1:
                     log.info("counters", extra=self.counters.fields())
-                elif not self.stopping:
+                elif number in (signal.SIGTERM, signal.SIGINT) and not self.stopping:
                     self.stopping = True
-                    self.scheduler.spawn("stop", self._stop)
+                    self.scheduler.spawn(self._stop)
 
     def _stop(self) -> None:
         """Accepts while connections still come, closes each between reqs, answers what was taken."""
--- a/laurelcourse/net/scheduler.py
+++ b/laurelcourse/net/scheduler.py
@@ -26,10 +26,14 @@
 
 
 class Task(greenlet):
-    def __init__(self, run: Callable[[str], None], hub: greenlet) -> None:
-        super().__init__(run, hub)
+    def __init__(self, scheduler: "Scheduler", work: Callable, args: tuple) -> None:
+        super().__init__(None, scheduler.hub)
+        self.scheduler, self.work, self.args = scheduler, work, args
         self.woken, self.waits = True, 0
 
+    def run(self, _: str) -> None:
+        self.scheduler.guarded(self.work, *self.args)
+
 
 class Mailbox:
     def __init__(self, scheduler: "Scheduler") -> None:
@@ -56,20 +60,21 @@
         self.hub = getcurrent()
         self.poll = select.poll()
         self.waiting: dict[int, Task] = {}
+        self.watched: dict[int, int] = {}  # what the poll object holds: more than is waited on
         self.ready: deque[tuple[Task, str]] = deque()
         self.heap: list[tuple[int, int, Task | Callable[[], None], int]] = []
         self.pushed = 0
 
-    def spawn(self, name: str, work: Callable, *args: object) -> Task:
-        task = Task(lambda _: self._guarded(name, work, *args), self.hub)
+    def spawn(self, work: Callable, *args: object) -> Task:
+        task = Task(self, work, args)
         self.ready.append((task, MAIL))
         return task
 
-    def _guarded(self, name: str, work: Callable, *args: object) -> None:
+    def guarded(self, work: Callable, *args: object) -> None:
         try:
             work(*args)
         except Exception:
-            log.exception("task died", extra={"task": name})
+            log.exception("task died", extra={"task": getattr(work, "__qualname__", work)})
             self.died()
 
     def after(self, delay: int, work: Callable[[], None]) -> None:
@@ -92,7 +97,9 @@
         task = getcurrent()
         if fd is not None:
             self.waiting[fd] = task
-            self.poll.register(fd, events)
+            if self.watched.get(fd) != events:
+                self.watched[fd] = events
+                self.poll.register(fd, events)
         if box is not None:
             box.reader = task
         if until is not None:
@@ -104,16 +111,18 @@
         # The number may by now stand for another descriptor, with another task waiting on it.
         if fd is not None and self.waiting.get(fd) is task:
             del self.waiting[fd]
-            self.poll.unregister(fd)
         return reason
 
     def forget(self, fd: int) -> None:
         """To be called before a descriptor closes: whoever waits on it learns that it is shut."""
-        task = self.waiting.pop(fd, None)
-        if task:
-            self.poll.unregister(fd)
+        self._unwatch(fd)
+        if task := self.waiting.pop(fd, None):
             self.wake(task, SHUT)
 
+    def _unwatch(self, fd: int) -> None:
+        if self.watched.pop(fd, None) is not None:
+            self.poll.unregister(fd)
+
     def wake(self, task: Task, reason: str) -> None:
         if not task.woken and not task.dead:
             task.woken = True
@@ -131,12 +140,14 @@
             while self.heap and self.heap[0][0] <= now:
                 _, _, what, number = heapq.heappop(self.heap)
                 if not isinstance(what, Task):
-                    self._guarded("timer", what)
+                    self.guarded(what)
                 elif what.waits == number:
                     self.wake(what, LATE)
             for fd, _ in self.poll.poll(self._pause(now)):
                 if fd in self.waiting:
                     self.wake(self.waiting[fd], IO)
+                else:
+                    self._unwatch(fd)
 
     def _pause(self, now: int) -> int | None:
         """Whole ms, rounded up: rounding down would spin through the last one."""
--- a/laurelcourse/net/units.py
+++ b/laurelcourse/net/units.py
@@ -26,7 +26,7 @@
     def __init__(self, address: Address, entry: face.Listed) -> None:
         self.address, self.build, self.since = address, entry.build, entry.since
         self.idle: deque[tuple[int, Connection]] = deque()
-        self.gone = False
+        self.gone = self.odd = False
 
 
 class Try:
@@ -70,7 +70,7 @@
     def begin(self, number: int, unit: int, limit: int, statement: Statement, box: Mailbox) -> Try:
         """Starts an upstream try; its one outcome goes into the box."""
         one = Try(number, unit, Mailbox(self.scheduler))
-        self.scheduler.spawn("try", self._run, one, limit, statement, box)
+        self.scheduler.spawn(self._run, one, limit, statement, box)
         return one
 
     def unsent(self, number: int, unit: int, box: Mailbox) -> Try:
@@ -81,7 +81,7 @@
 
     def probe(self, unit: int, report: Mailbox) -> None:
         """Asks a unit how it is; status, lag and load go into the box."""
-        self.scheduler.spawn("probe", self._probe, unit, report)
+        self.scheduler.spawn(self._probe, unit, report)
 
     def _run(self, one: Try, limit: int, statement: Statement, box: Mailbox) -> None:
         began, answer = self.scheduler.now(), Answer()
@@ -99,7 +99,7 @@
         probe = postgres.query(sql.encode())
         until, never = began + self.limits.connect, Mailbox(self.scheduler)
         status = self._ask(unit, lambda _: probe, until, answer, never)
-        load = postgres.report((answer.row or b"").decode("latin-1")) if self.load_told else {}
+        load = postgres.report(answer.row().decode("latin-1")) if self.load_told else {}
         self.counters.add(f"probes.{status}")
         report.put((unit, status, self.scheduler.now() - began, load))
 
@@ -124,6 +124,9 @@
             if conn:
                 self._close(conn)
         if ended == NONSENSE:
+            if not place.odd:
+                log.warning("a unit speaks nonsense", extra={"unit": place.address})
+            place.odd = True
             return face.RESET  # whatever it said before, its try may have run
         if answer.code:
             return face.BUSY if answer.code == postgres.TURNED_AWAY else face.FAILED
@@ -136,12 +139,12 @@
             if isinstance(found, str):
                 return found
             try:
-                answer.take(*found, LOAD_REPORT)
+                answer.take(found, LOAD_REPORT)
             except ProtocolError as error:
                 return self._nonsense(error)
         return self._nonsense("bytes behind an answer") if conn.buffer else face.OK
 
-    def _message(self, conn: Connection, until: int, box: Mailbox) -> tuple[int, bytes] | str:
+    def _message(self, conn: Connection, until: int, box: Mailbox) -> bytes | str:
         """The unit's next message, or how the wait for it ended."""
         buffer = conn.buffer
         while True:
@@ -150,8 +153,9 @@
             except ProtocolError as error:
                 return self._nonsense(error)
             if found and found.end <= buffer.end:
+                raw = bytes(buffer.data[buffer.start:found.end])
                 buffer.start = found.end
-                return found.kind, bytes(buffer.data[found.begin:found.end])
+                return raw
             if found:
                 return self._nonsense("a message over the limit")
             reason = conn.read(until, box)
@@ -160,7 +164,7 @@
 
     def _nonsense(self, fault: object) -> str:
         self.counters.add("units_nonsense")
-        log.warning("a unit speaks nonsense", extra={"fault": fault})
+        log.debug("a unit speaks nonsense: %s", fault)
         return NONSENSE
 
     def _connection(self, place: Place, until: int) -> tuple[Connection | None, str]:
@@ -190,11 +194,10 @@
         if not conn.write(self.hello, until):
             return face.UNREACHED
         while not isinstance(found := self._message(conn, until, Mailbox(self.scheduler)), str):
-            letter = chr(found[0])
-            if letter == "Z":
+            if found[:1] == b"Z":
                 return face.OK
-            if letter == "E":
-                code = postgres.fields_of_error(found[1]).get("C")
+            if found[:1] == b"E":
+                code = postgres.fields_of_error(found[5:]).get("C")
                 return face.BUSY if code == postgres.TURNED_AWAY else face.UNREACHED
         return face.UNREACHED
 
