Up to 128 tasks run between two polls

Seen: a relay at 3,400 reqs a second spent 12% of its CPU in poll (samples by line, scheduler.run), since each stage of a req waited for a poll of all descriptors.

--- a/laurelcourse/net/scheduler.py
+++ b/laurelcourse/net/scheduler.py
@@ -10,6 +10,7 @@
 from greenlet import getcurrent, greenlet
 
 READ, WRITE = select.POLLIN, select.POLLOUT
+SWITCHES = 128  # between two polls at most: each poll looks at every descriptor
 IO, MAIL, LATE, SHUT = "io", "mail", "late", "shut"  # why a wait ended
 
 log = logging.getLogger(__name__)
@@ -130,7 +131,9 @@
 
     def run(self, over: Callable[[], bool]) -> None:
         while True:
-            for _ in range(len(self.ready)):
+            left = SWITCHES
+            while self.ready and left:
+                left -= 1
                 task, reason = self.ready.popleft()
                 task.woken = False
                 task.switch(reason)
