--- a/laurelcourse/cli.py
+++ b/laurelcourse/cli.py
@@ -34,7 +34,11 @@
     """Serve clients until SIGTERM or SIGINT; SIGUSR1 prints the counters."""
     read_config = read(path)
     log.start(log_level)
-    Relay(read_config).run()
+    try:
+        Relay(read_config).run()
+    except OSError as error:
+        click.echo(f"{path}: can't serve: {error}", err=True)
+        sys.exit(1)
 
 
 @main.command()
--- a/laurelcourse/net/deployer.py
+++ b/laurelcourse/net/deployer.py
@@ -37,6 +37,7 @@
         self.vote_timeout = config.settings.vote_timeout
         self.routes = {route.name for route in config.settings.routes}
         self.changed = Mailbox(scheduler)
+        self.odd: set[str] = set()  # kinds of notices that could not be read when they last came
         self.pauses = Pauses(config.limits, config.seed, "notices stream")
 
     def vote(self, build: int, stage: int, verdict: int) -> None:
@@ -114,6 +115,9 @@
                 self.choices.stage(forms.state(fields))
             elif name == "metrics" and fields.get("class") in self.routes:
                 self.choices.tally(forms.tally(fields))
+            self.odd.discard(name)
         except FormError as error:
             self.counters.add("notices_unreadable")
-            log.warning("a notice can't be read", extra={"fault": error})
+            if name not in self.odd:
+                log.warning("a notice can't be read", extra={"fault": error})
+            self.odd.add(name)
--- a/laurelcourse/net/relay.py
+++ b/laurelcourse/net/relay.py
@@ -5,6 +5,7 @@
 import os
 import signal
 import socket
+from collections.abc import Callable
 
 from laurelcourse import interface as face
 from laurelcourse.net.choices import Choices
@@ -52,14 +53,14 @@
         listener.bind(self.config.listen)
         if self.config.peer_listen:
             self.relays.bind(self.config.peer_listen)
-            self.scheduler.spawn(self.relays.hear)
+            self.scheduler.spawn(self._keep, self.relays.hear)
         self.units.listed(self.config.known.entries, True)
         self.choices.start([listed for listed, _ in self.config.known.entries], self.config.news)
         listener.listen(self.limits.backlog)
         self.scheduler.spawn(self.clients.listen, listener)
         self.scheduler.spawn(self._signals, wakeup)
         for work in (self.units.sweep, self.directory.follow, self.deployer.keep_hearing, self._hear_probes):
-            self.scheduler.spawn(work)
+            self.scheduler.spawn(self._keep, work)
         # Reqs leave no cycles behind: looking for them often costs CPU that reqs need.
         gc.freeze()
         gc.set_threshold(50_000, 20, 50)
@@ -67,6 +68,12 @@
         self.scheduler.run(lambda: self.over)
         log.info("counters", extra=self.counters.fields())
 
+    def _keep(self, work: Callable[[], None]) -> None:
+        """A loop that a fault ends begins again: without it the relay would go on, deaf."""
+        while True:
+            self.scheduler.guarded(work)
+            self.scheduler.sleep(self.limits.pause_most)
+
     def _hear_probes(self) -> None:
         while True:
             self.choices.probed(*self.probed.get())
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -383,10 +383,6 @@
         line = [line for line in self.log.read_text().splitlines() if "msg=counters" in line][-1]
         return int(dict(part.split("=", 1) for part in line.split(" ")).get(name, 0))
 
-    def stop(self) -> int:
-        self.process.terminate()
-        return self.process.wait(10)
-
     def close(self) -> None:
         self.process.kill()
         self.process.wait()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -2,13 +2,18 @@
 
 import os
 import socket
+from types import SimpleNamespace
 
 import pytest
-from conftest import IDLE, ROW, failure, pg, sql
+from conftest import IDLE, OUTSIDE, ROW, STAND_IN, UnitStand, failure, pg, sql
 
 from laurelcourse import interface as face
 from laurelcourse.net import forms, http, postgres
+from laurelcourse.net.counters import Counters
+from laurelcourse.net.limits import limits
 from laurelcourse.net.scheduler import IO, LATE, MAIL, READ, SHUT, Clock, Mailbox, Scheduler
+from laurelcourse.net.units import Units
+from laurelcourse.settings import Tree
 
 CHUNKED = (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
            b"5;x=1\r\nhello\r\nA\r\n0123456789\r\n0\r\nTrailer: x\r\n\r\n")
@@ -154,3 +159,35 @@
     task = scheduler.spawn(scheduler.sleep, 5000)
     scheduler.run(lambda: task.dead)
     assert died == [1, 1]
+
+
+@pytest.mark.parametrize("idle, between, connections", [
+    (30_000, None, 1), (30_000, "build", 2), (30_000, "since", 2), (30_000, "gone", 2), (30_000, "closed", 2),
+    (5, "wait", 2)])
+def test_a_connection_is_used_again_only_if_it_is_clean(
+        scheduler: Scheduler, idle: int, between: str | None, connections: int) -> None:
+    stand = UnitStand()
+    root = {"limits": {"sockets": 64, "memory_mb": 64}, "settings": OUTSIDE | {
+        "limits": OUTSIDE["limits"] | {"conn_idle": idle}}}
+    config = SimpleNamespace(limits=limits(Tree(root)), load_told=True)
+    units, box, found = Units(scheduler, config, Counters()), Mailbox(scheduler), []
+    listed = face.Listed(7, "a", 0, 1, face.READY, 1.0, face.LONG_AGO)
+    changes = {"build": {"build": 2}, "since": {"since": 5}, "gone": {"health": face.GONE}}
+
+    def work() -> None:
+        units.listed([(listed, (STAND_IN, stand.port))], True)
+        units.probe(7, box)
+        found.append(box.get()[:2])
+        if between in changes:
+            units.listed([(listed._replace(**changes[between]), (STAND_IN, stand.port))], False)
+            units.listed([(listed, (STAND_IN, stand.port))], False)
+        elif between == "closed":
+            stand.conns[0].shutdown(socket.SHUT_RDWR)
+        scheduler.sleep(10_000)
+        units.begin(0, 7, 1_000_000, postgres.statement(sql().encode()), box)
+        found.append(box.get()[3])
+    task = scheduler.spawn(work)
+    scheduler.run(lambda: task.dead)
+    stand.close()
+    assert found == [(7, face.OK), face.OK] and len(stand.conns) == connections
+    assert stand.queries[0] == "SHOW gauges" and len(stand.queries) == 2
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -2,6 +2,7 @@
 
 import json
 import re
+import signal
 import socket
 import struct
 import subprocess
@@ -245,12 +246,14 @@
     assert served.count("datagrams_ignored") == 2 and served.count("module_faults") == 0
 
 
-def test_sigterm_answers_what_was_taken_and_leaves_with_zero(serve: Callable[..., Served]) -> None:
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
+def test_a_stop_answers_what_was_taken_and_leaves_with_zero(
+        serve: Callable[..., Served], number: signal.Signals) -> None:
     served = serve(modes="slow0.9")
     busy, idle = served.client(), served.client()
     busy.send(sql("once"))
     until(served.queries)
-    served.process.terminate()
+    served.process.send_signal(number)
     until(lambda: "msg=stopping" in served.log.read_text())
     late = served.client()
     late.send(sql("once"))
