--- a/laurelcourse/net/choices.py
+++ b/laurelcourse/net/choices.py
@@ -50,8 +50,11 @@
         self._call("directory", face.CACHED, known)
         self.stage(news)
 
-    def take(self, box: Mailbox, req: str, route: str, key: int | None, left: int, repeated: bool) -> None:
-        self.boxes[req] = box
+    def expect(self, req: str, box: Mailbox) -> bool:
+        """Where the req's results go; False if one with its id is under way."""
+        return self.boxes.setdefault(req, box) is box
+
+    def take(self, req: str, route: str, key: int | None, left: int, repeated: bool) -> None:
         self._call("new_req", req, route, "", key, left, repeated, req=req)
 
     def outcome(self, req: str, number: int, unit: int, status: str, lag: int, last: bool,
--- a/laurelcourse/net/clients.py
+++ b/laurelcourse/net/clients.py
@@ -225,13 +225,13 @@
             raise ProtocolError(postgres.BAD_VALUE, "c names no class that is served here")
         if self.repeats[statement.route] == DEDUPED and not statement.mark:
             raise ProtocolError(postgres.BAD_VALUE, "the comment lacks k")
-        if statement.req in self.choices.boxes:
-            raise ProtocolError(postgres.BAD_VALUE, "id is that of a req under way")
         return self._await(client, statement)
 
     def _await(self, client: Client, statement: Statement) -> bytes | None:
         """The answer to a req, with an eye on the client meanwhile; None if it went away."""
         box = Mailbox(self.scheduler)
+        if not self.choices.expect(statement.req, box):
+            raise ProtocolError(postgres.BAD_VALUE, "id is that of a req under way")
         self.scheduler.spawn(self._live, statement, box, client.box)
         reason = GOT
         while True:
@@ -255,7 +255,7 @@
         tries: list[Try] = []
         out, end = 0, None
         try:
-            choices.take(box, req, route, statement.key, statement.left_ms * 1000, statement.repeated)
+            choices.take(req, route, statement.key, statement.left_ms * 1000, statement.repeated)
             while end is None or out:
                 what, *rest = box.get()
                 if what == face.SEND:
