Clients that asked once, say nothing or do not finish give way to those that ask

Checked: descriptors 191 of 256 and CPU under a third of a core, so neither ran out; the client part of the descriptors was full of idle connections. At fault: clients.py counted every welcomed connection as served and never closed an idle one; a startup had 5 s, half a message no bound at all; _skip read whatever a length promised; limits.py took messages of memory/1024 only, 32 KiB at 32 MB. Change: connections without an open req are kept by age; when room is short the faulty give way first, then the silent, then those idle for over 2 s. Startup, first req and each message have a bound counted from accepting or from the message's first byte. A length that is never served is answered at its head. A repeated fault is answered more slowly and ends the connection. Unfinished messages share an eighth of the memory.

--- a/laurelcourse/net/clients.py
+++ b/laurelcourse/net/clients.py
@@ -11,7 +11,7 @@
 from laurelcourse.net.connection import ENDED, FULL, GOT, Connection
 from laurelcourse.net.counters import Counters
 from laurelcourse.net.postgres import FramingError, ProtocolError, Statement
-from laurelcourse.net.scheduler import MAIL, READ, SHUT, Mailbox, Scheduler
+from laurelcourse.net.scheduler import LATE, MAIL, READ, SHUT, Mailbox, Scheduler
 from laurelcourse.net.units import OUTCOME, Try, Units
 from laurelcourse.settings import DEDUPED
 
@@ -23,9 +23,10 @@
 
 
 class Client:
-    def __init__(self, conn: Connection, box: Mailbox) -> None:
-        self.conn, self.box = conn, box
-        self.stopping = False
+    def __init__(self, conn: Connection, box: Mailbox, accepted: int) -> None:
+        self.conn, self.box, self.accepted = conn, box, accepted
+        self.stopping = self.heard = False  # heard: it has sent something that could be served
+        self.faults = 0                     # on end
 
     def stop(self) -> None:
         self.box.put((STOP,))
@@ -38,7 +39,12 @@
         self.units, self.counters = units, counters
         self.repeats = {route.name: route.repeat for route in config.settings.routes}
         self.open: set[Client] = set()
-        self.served = 0
+        self.served: set[Client] = set()
+        # Who may give way, and since when, oldest first: unheard, between reqs, inside a message, at fault.
+        self.silent: dict[Client, int] = {}
+        self.idle: dict[Client, int] = {}
+        self.partial: dict[Client, int] = {}
+        self.faulty: dict[Client, int] = {}
         self.freed = Mailbox(scheduler)
         self.listener: socket.socket | None = None
         self.accepted_at = 0
@@ -47,11 +53,11 @@
         self.listener = sock
         while self.listener:
             room = self.limits.clients + self.limits.crowd - len(self.open)
-            if room <= 0:
+            if room <= 0 and not self._make_room():
                 # Accepting on would use up the descriptors, at the cost of idle connections to units.
-                self.freed.get()
+                self.freed.get(self.scheduler.now() + self.limits.pause_first)
             elif self.scheduler.wait(sock.fileno(), READ) != SHUT:
-                self._accept(sock, min(room, self.limits.accepts))
+                self._accept(sock, min(max(room, 1), self.limits.accepts))
 
     def close_listener(self) -> None:
         """Takes what the machine has accepted already, so that its closing resets nobody."""
@@ -76,27 +82,51 @@
             accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.accepted_at = self.scheduler.now()
             self.counters.add("clients_accepted")
-            client = Client(Connection(self.scheduler, accepted, self.limits), Mailbox(self.scheduler))
+            conn = Connection(self.scheduler, accepted, self.limits)
+            client = Client(conn, Mailbox(self.scheduler), self.accepted_at)
+            if len(self.open) >= self.limits.clients:
+                self._make_room()
             self.open.add(client)
+            self.silent[client] = client.accepted
             self.scheduler.spawn(self._serve, client)
 
     def _serve(self, client: Client) -> None:
         try:
-            if self._startup(client) and not self._crowded(client):
-                self.served += 1
-                try:
-                    self._talk(client)
-                finally:
-                    self.served -= 1
+            started = self._startup(client)
+            self.silent.pop(client, None)
+            if started and not self._crowded(client):
+                self.served.add(client)
+                self._talk(client)
         finally:
-            client.conn.close()
-            self.open.discard(client)
+            self._leave(client)
             if not self.freed.items:
                 self.freed.put(None)
 
+    def _leave(self, client: Client) -> None:
+        client.conn.close()
+        for group in (self.open, self.served):
+            group.discard(client)
+        for waiting in (self.silent, self.idle, self.partial, self.faulty):
+            waiting.pop(client, None)
+
+    def _make_room(self) -> bool:
+        """Closes the connection that can best be spared; whether there was one. None that has an open req
+        goes, nor one with something to read: its req may just have come."""
+        now, limits = self.scheduler.now(), self.limits
+        for waiting, rest in ((self.faulty, 0), (self.silent, limits.pause_first), (self.idle, limits.spare),
+                              (self.partial, limits.spare)):
+            for client, since in waiting.items():
+                if since + rest > now:
+                    break
+                if waiting is self.faulty or not client.conn.peek():
+                    self.counters.add("clients_made_room")
+                    self._leave(client)
+                    return True
+        return False
+
     def _startup(self, client: Client) -> bool:
         conn, buffer = client.conn, client.conn.buffer
-        until = self.scheduler.now() + self.limits.patience
+        until = client.accepted + self.limits.begin
         while True:
             try:
                 found = postgres.frame(buffer.data, buffer.start, buffer.end, buffer.usual, startup=True)
@@ -119,14 +149,16 @@
                 else:
                     raise ProtocolError(postgres.VIOLATION, "not version 3 of the protocol")
             except ProtocolError as error:
-                self._fault(conn, error)
+                self._fault(client, error)
                 return False
 
     def _crowded(self, client: Client) -> bool:
         """Beyond the limit a client is told so at once: one left waiting unaccepted would be lost."""
-        if self.served < self.limits.clients:
+        while len(self.served) >= self.limits.clients and self._make_room():
+            pass
+        if len(self.served) < self.limits.clients:
             return False
-        self._fault(client.conn, ProtocolError(postgres.TURNED_AWAY, "too many connections"))
+        self._hang_up(client, ProtocolError(postgres.TURNED_AWAY, "too many connections"))
         return True
 
     def _talk(self, client: Client) -> None:
@@ -138,16 +170,15 @@
                     if not self._more(client):
                         return
                     continue
+                self.partial.pop(client, None)
                 turn += 1
                 if turn % TURN == 0:
                     self.scheduler.breathe()
-                if found.end > buffer.end:
-                    if not self._skip(conn, found.end - buffer.start):
-                        return
-                    raise ProtocolError(postgres.TOO_LONG, "a message over the limit")
-                payload = bytes(buffer.data[found.begin:found.end])
-                buffer.start = found.end
                 letter = chr(found.kind)
+                if found.end > buffer.end:
+                    # Told from its head: whoever says 60 MB is not waited for.
+                    raise FramingError(postgres.TOO_LONG, "a message over the limit")
+                begin, buffer.start = found.begin, found.end
                 if letter == "X":
                     return
                 if letter == "S":
@@ -156,71 +187,92 @@
                 elif skipping:
                     continue
                 elif letter == "Q":
-                    answer = self._query(client, payload)
+                    answer = self._query(client, postgres.text(bytes(buffer.data[begin:found.end])))
                 elif found.kind in postgres.EXTENDED:
                     skipping = True
-                    answer = self._refuse(ProtocolError(postgres.UNSUPPORTED, "simple queries only"))
+                    raise ProtocolError(postgres.UNSUPPORTED, "simple queries only")
                 elif letter == "F":
                     raise ProtocolError(postgres.UNSUPPORTED, "no function calls")
                 else:
                     raise FramingError(postgres.VIOLATION, "an unknown message")
-            except FramingError as error:
-                self._fault(conn, error)
-                return
             except ProtocolError as error:
-                answer = self._refuse(error) + postgres.READY
+                client.faults += 1
+                if isinstance(error, FramingError) or client.faults >= self.limits.faults:
+                    return self._fault(client, error)
+                if client.faults > 1:
+                    # One that repeats its fault at once would take the CPU from the others.
+                    self.scheduler.sleep(self.limits.penance)
+                answer = self._refuse(error) + (b"" if skipping else postgres.READY)
             if answer is None or not conn.write(answer):
                 return
 
     def _more(self, client: Client) -> bool:
         """Waits for bytes between reqs; False when the connection is over, or is to be closed now."""
-        conn = client.conn
+        conn, now = client.conn, self.scheduler.now()
         if not client.stopping:
-            reason = conn.read(box=client.box)
+            until, waiting = None, self.idle
+            if conn.buffer:
+                began, waiting = self.partial.setdefault(client, now), self.partial
+                until = (began if client.heard else client.accepted) + self.limits.begin
+                if not self._memory_left(client):
+                    return False
+            elif not client.heard:
+                until, waiting = client.accepted + self.limits.begin, self.silent
+            waiting.setdefault(client, now)
+            reason = conn.read(until, client.box)
+            if waiting is not self.partial:
+                waiting.pop(client, None)
             if reason == MAIL:
                 self._told_to_stop(client)
+            elif reason == LATE and waiting is self.partial:
+                self._hang_up(client, ProtocolError(postgres.VIOLATION, "a message not finished in time"))
+            elif reason == LATE:
+                reason = conn.read_now()
             return reason in (MAIL, GOT)
         # A req whose bytes have come, or begun to, is taken and answered before the connection closes.
-        soon = self.scheduler.now() + self.limits.stop_drain
+        soon = now + self.limits.stop_drain
         if conn.read_now() == GOT or (conn.buffer and conn.read(soon) == GOT):
             return True
         conn.close_gently(soon)
         return False
 
+    def _memory_left(self, client: Client) -> bool:
+        """Unfinished messages share a part of the memory: the oldest gives way. Whether this one stays."""
+        if len(client.conn.buffer.data) > self.limits.buffer_usual:
+            while sum(len(one.conn.buffer.data) for one in self.partial) > self.limits.unfinished:
+                self.counters.add("clients_over_memory")
+                self._leave(next(iter(self.partial)))
+        return client.conn.open
+
     def _told_to_stop(self, client: Client) -> int:
         """Heeds the one thing said to a client between reqs; how long what it has begun may take."""
         client.box.get()
         client.stopping = True
         return self.scheduler.now() + self.limits.stop_drain
 
-    def _skip(self, conn: Connection, count: int) -> bool:
-        """Passes over a message too long to hold, so that the framing stands behind it."""
-        until = self.scheduler.now() + self.limits.patience
-        while count > len(conn.buffer):
-            count -= len(conn.buffer.take())
-            if conn.read(until) != GOT:
-                return False
-        conn.buffer.start += count
-        return True
-
-    def _refuse(self, error: ProtocolError) -> bytes:
+    def _refuse(self, error: ProtocolError, fatal: bool = False) -> bytes:
         self.counters.add(f"clients_faults.{error.code}")
-        return postgres.error(error.code, str(error))
+        return postgres.error(error.code, str(error), fatal=fatal)
 
-    def _fault(self, conn: Connection, error: ProtocolError) -> None:
-        """Says what is wrong, and hangs up."""
-        self.counters.add(f"clients_faults.{error.code}")
+    def _fault(self, client: Client, error: ProtocolError) -> None:
+        """Hangs up on one that speaks badly, a little late: it may be back at once with the same."""
+        self.faulty[client] = self.scheduler.now()
+        self.scheduler.sleep(self.limits.penance)
+        self._hang_up(client, error)
+
+    def _hang_up(self, client: Client, error: ProtocolError) -> None:
         until = self.scheduler.now() + self.limits.stop_drain
-        conn.write(postgres.error(error.code, str(error), fatal=True), until)
-        conn.close_gently(until)
+        client.conn.write(self._refuse(error, fatal=True), until)
+        client.conn.close_gently(until)
 
-    def _query(self, client: Client, payload: bytes) -> bytes | None:
-        sql = postgres.text(payload)
+    def _query(self, client: Client, sql: bytes) -> bytes | None:
         if not sql.strip(b" ;\n\r\t"):
             if not self.choices.holds_list:
                 raise ProtocolError(postgres.STARTING, "no list of units yet")
+            client.heard = True
             return postgres.EMPTY + postgres.READY
         statement = postgres.statement(sql)
+        del sql  # as large as the statement, which is kept until the req has ended
         if statement.route not in self.repeats:
             raise ProtocolError(postgres.BAD_VALUE, "c names no class that is served here")
         if self.repeats[statement.route] == DEDUPED and not statement.mark:
@@ -232,10 +284,12 @@
         box = Mailbox(self.scheduler)
         if not self.choices.expect(statement.req, box):
             raise ProtocolError(postgres.BAD_VALUE, "id is that of a req under way")
+        client.heard, client.faults = True, 0
         self.scheduler.spawn(self._live, statement, box, client.box)
         reason = GOT
         while True:
-            if reason == FULL:
+            if reason == FULL or len(client.conn.buffer) >= self.limits.buffer_usual:
+                # What it asks ahead waits in its own machine.
                 self.scheduler.wait(box=client.box)
                 reason = MAIL
             else:
--- a/laurelcourse/net/connection.py
+++ b/laurelcourse/net/connection.py
@@ -109,17 +109,18 @@
                 return False
         return written == len(data)
 
-    def clean(self) -> bool:
-        """Nothing unread, and not closed by the other side."""
-        if not self.open or len(self.buffer):
-            return False
+    def peek(self) -> bytes | None:
+        """The next byte that waits in the machine; None if there is none, empty at the end."""
         try:
-            self.sock.recv(1, socket.MSG_PEEK)
+            return self.sock.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
-            return True
+            return None
         except OSError:
-            pass
-        return False
+            return b""
+
+    def clean(self) -> bool:
+        """Nothing unread, and not closed by the other side."""
+        return self.open and not self.buffer and self.peek() is None
 
     def close(self) -> None:
         if self.open:
@@ -128,12 +129,12 @@
             self.sock.close()
 
     def close_gently(self, until: int) -> None:
-        """Closes so that no unread byte resets an answer on its way."""
+        """Closes so that no unread byte resets an answer on its way; who sends on and on is cut off."""
+        passed, reason = 0, GOT
         try:
             self.sock.shutdown(socket.SHUT_WR)
-            reason = GOT
-            while reason == GOT:
-                self.buffer.take()
+            while reason == GOT and passed < self.limits.drained:
+                passed += len(self.buffer.take())
                 reason = self.read(until)
         except OSError:
             pass
--- a/laurelcourse/net/limits.py
+++ b/laurelcourse/net/limits.py
@@ -20,7 +20,13 @@
     datagram: int
     connect: int              # until a connection to a unit is up
     idle: int                 # a connection to a unit is not reused after this
-    patience: int             # for another's part in a startup, a write, a message passed over
+    patience: int             # for another's part in a write
+    begin: int                # from accepting to the first req, and from a message's first byte to its last
+    spare: int                # a client between reqs for so long gives way when room is short
+    faults: int               # on end, and the connection closes
+    penance: int              # before the answer to a fault that was repeated, or that ends the connection
+    unfinished: int           # bytes of clients' unfinished messages, all together
+    drained: int              # bytes passed over while a connection closes
     watch: int                # how long a watch of the directory may wait
     watch_grace: int          # and how much later its answer may come
     silence: int              # a notices stream without a sign of life
@@ -33,16 +39,20 @@
 
 def limits(tree: Tree) -> Limits:
     """Shares the descriptors out: an eighth and 16 in reserve; of the rest as many for units as for clients,
-    so that no req taken lacks a connection, and a tenth for clients that are told there is no room."""
+    so that no req taken lacks a connection, and a tenth for clients that are told there is no room. A message
+    holds a value of 64 KiB in hexadecimal digits and the statement round it, at every size of memory."""
     sockets, memory = tree.whole("limits.sockets"), tree.whole("limits.memory_mb") << 20
     shared = max(sockets - sockets // 8 - 16, 8)
-    message = min(160 << 10, memory >> 10)
+    message = 136 << 10
     idle = tree.micros("settings.limits.conn_idle")
     return Limits(
         clients=shared * 9 // 20, crowd=shared // 10, upstream=shared * 9 // 20,
         backlog=min(sockets, 1024), accepts=128,
-        buffer_usual=1 << 12, buffer_most=message + (1 << 12), message=message, body=1 << 22, datagram=256,
+        buffer_usual=1 << 12, buffer_most=message + (1 << 12), message=message,
+        body=max(memory >> 6, 1 << 18), datagram=256,
         connect=tree.micros("settings.limits.connect_timeout"), idle=idle - min(idle // 10, SECOND),
-        patience=5 * SECOND, watch=5 * SECOND, watch_grace=SECOND, silence=3 * SECOND,
+        patience=5 * SECOND, begin=23 * SECOND // 10, spare=21 * SECOND // 10, faults=4, penance=SECOND // 2,
+        unfinished=max(memory >> 3, 2 * message), drained=1 << 18,
+        watch=5 * SECOND, watch_grace=SECOND, silence=3 * SECOND,
         pause_first=SECOND // 20, pause_most=SECOND, stop_quiet=3 * SECOND // 10,
         stop_accept=6 * SECOND // 10, stop_drain=SECOND // 2)
