SIGHUP reads the configuration again: directory and deployer move, all else stays

At fault: HEARD in relay.py lacked SIGHUP, whose default ends the process; the addresses were read once. Change: SIGHUP reads the file in a task of its own. Directory and deployer are told their address; a watch that waits is broken off and the whole list is asked for at the new place; a second notices stream is opened there, and the old one is held until the new one has spoken; pauses are cut short. A vote that is out ends where it was cast. A wrong file is one log line and changes nothing; fields that need a restart are named in the log.

--- a/laurelcourse/cli.py
+++ b/laurelcourse/cli.py
@@ -31,11 +31,11 @@
 @click.option("--log-level", default="info", show_default=True,
               type=click.Choice(["debug", "info", "warning", "error"]), help="The least that is logged.")
 def serve(path: str, log_level: str) -> None:
-    """Serve clients until SIGTERM or SIGINT; SIGUSR1 prints the counters."""
+    """Serve clients until SIGTERM or SIGINT; SIGHUP reads the file again, SIGUSR1 prints the counters."""
     read_config = read(path)
     log.start(log_level)
     try:
-        Relay(read_config).run()
+        Relay(read_config, lambda: configuration.read(path)).run()
     except OSError as error:
         click.echo(f"{path}: can't serve: {error}", err=True)
         sys.exit(1)
--- a/laurelcourse/net/deployer.py
+++ b/laurelcourse/net/deployer.py
@@ -9,7 +9,7 @@
 from laurelcourse.net.config import Config
 from laurelcourse.net.connection import GOT, Connection
 from laurelcourse.net.counters import Counters
-from laurelcourse.net.forms import FormError
+from laurelcourse.net.forms import Address, FormError
 from laurelcourse.net.http import Events, HttpError, Response
 from laurelcourse.net.scheduler import LATE, Mailbox, Scheduler
 
@@ -21,8 +21,8 @@
 class Stream:
     """One notices stream: when it was last heard, whether it has told anything, and whether it is over."""
 
-    def __init__(self, now: int) -> None:
-        self.heard, self.spoke, self.over = now, False, False
+    def __init__(self, now: int, address: Address) -> None:
+        self.heard, self.spoke, self.over, self.address = now, False, False, address
         self.conn: Connection | None = None
 
     def hang_up(self) -> None:
@@ -36,10 +36,17 @@
         self.choices, self.counters = choices, counters
         self.vote_timeout = config.settings.vote_timeout
         self.routes = {route.name for route in config.settings.routes}
-        self.changed = Mailbox(scheduler)
+        self.changed, self.moved = Mailbox(scheduler), Mailbox(scheduler)
         self.odd: set[str] = set()  # kinds of notices that could not be read when they last came
         self.pauses = Pauses(config.limits, config.seed, "notices stream")
 
+    def move(self, address: Address) -> None:
+        """Votes and the stream go to another address; a vote that is out ends where it was cast."""
+        if address != self.address:
+            self.address = address
+            self.changed.put(None)
+            self.moved.put(None)
+
     def vote(self, build: int, stage: int, verdict: int) -> None:
         self.scheduler.spawn(self._vote, build, stage, verdict)
 
@@ -62,7 +69,8 @@
         self.choices.stage(told, vote_ended=status)
 
     def keep_hearing(self) -> None:
-        """Holds one stream; one lost or silent is opened anew, and held until the new one speaks."""
+        """Holds one stream; one lost, silent or left behind is opened anew, and held until the new one
+        speaks."""
         held, tried = None, None
         while True:
             if tried and tried.spoke:
@@ -73,23 +81,30 @@
             now, silence = self.scheduler.now(), self.limits.silence
             if held and held.over:
                 held = None
-                self.scheduler.sleep(self.pauses.failed("the stream ended"))
+                self._rest(self.pauses.failed("the stream ended"))
+            elif tried and tried.address != self.address:
+                tried.hang_up()
+                tried = None
             elif tried and (tried.over or now - tried.heard >= silence):
                 tried.hang_up()
                 tried = None
-                self.scheduler.sleep(self.pauses.failed("no stream"))
-            elif tried is None and (held is None or now - held.heard >= silence):
-                tried = Stream(now)
+                self._rest(self.pauses.failed("no stream"))
+            elif tried is None and (
+                    held is None or now - held.heard >= silence or held.address != self.address):
+                tried = Stream(now, self.address)
                 self.counters.add("notices_opened")
                 self.scheduler.spawn(self._hear, tried)
             elif self.scheduler.wait(box=self.changed, until=(tried or held).heard + silence) != LATE:
                 self.changed.get()
 
+    def _rest(self, pause: int) -> None:
+        self.moved.get(self.scheduler.now() + pause)
+
     def _hear(self, stream: Stream) -> None:
         until = stream.heard + self.limits.silence
-        stream.conn = conn = Connection.connect(self.scheduler, self.address, self.limits, until)
+        stream.conn = conn = Connection.connect(self.scheduler, stream.address, self.limits, until)
         try:
-            if conn and conn.write(http.request("GET", NOTICES, self.address), until):
+            if conn and conn.write(http.request("GET", NOTICES, stream.address), until):
                 found, events = Response(self.limits.body), Events(self.limits.buffer_most)
                 while not found.done and conn.read() == GOT:
                     stream.heard = self.scheduler.now()
--- a/laurelcourse/net/directory.py
+++ b/laurelcourse/net/directory.py
@@ -9,7 +9,7 @@
 from laurelcourse.net.config import Config
 from laurelcourse.net.connection import Connection
 from laurelcourse.net.counters import Counters
-from laurelcourse.net.forms import FormError, Members, members
+from laurelcourse.net.forms import Address, FormError, Members, members
 from laurelcourse.net.http import HttpError
 from laurelcourse.net.scheduler import Mailbox, Scheduler
 from laurelcourse.net.units import Units
@@ -24,7 +24,7 @@
         self.choices, self.units, self.counters = choices, units, counters
         self.must_ask = config.settings.must_ask
         self.revision = config.known.revision if config.known.entries else None
-        self.asked = Mailbox(scheduler)
+        self.asked, self.moved = Mailbox(scheduler), Mailbox(scheduler)
         self.conn: Connection | None = None
         self.pauses = Pauses(config.limits, config.seed, "directory")
 
@@ -32,6 +32,13 @@
         """The module asked for changes from now on."""
         self.asked.put(None)
 
+    def move(self, address: Address) -> None:
+        """Another address from now on, also for a call that waits; its revisions count anew."""
+        if address != self.address:
+            self.address, self.revision = address, None
+            self._hang_up()
+            self.moved.put(None)
+
     def follow(self) -> None:
         while True:
             if self.must_ask:
@@ -42,15 +49,20 @@
             if self.must_ask:
                 self.choices.directory(face.BROKEN, [])
             else:
-                self.scheduler.sleep(pause)
+                self.moved.get(self.scheduler.now() + pause)
 
     def _watch(self) -> int:
         """One watch, handed on; if it failed, the pause due before the next."""
-        began = self.scheduler.now()
+        began, address = self.scheduler.now(), self.address
+        self.moved.items.clear()
         self.counters.add("directory_calls")
         try:
             found = self._call()
+            if address != self.address:
+                raise HttpError("moved")
         except (HttpError, FormError, ValueError, RecursionError) as error:
+            if address != self.address:
+                return 0
             self.counters.add("directory_failed")
             self._hang_up()
             return self.pauses.failed(error)
@@ -72,7 +84,10 @@
         if self.conn is None or not self.conn.clean():
             self._hang_up()
             soon = self.scheduler.now() + self.limits.watch_grace
-            self.conn = Connection.connect(self.scheduler, self.address, self.limits, soon)
+            address = self.address
+            self.conn = Connection.connect(self.scheduler, address, self.limits, soon)
+            if address != self.address:
+                self._hang_up()
         if self.conn is None:
             raise HttpError("no connection")
         if not self.conn.write(http.request("GET", target, self.address), until):
--- a/laurelcourse/net/relay.py
+++ b/laurelcourse/net/relay.py
@@ -1,4 +1,4 @@
-"""The relay as a whole: start, stop, wiring."""
+"""The relay as a whole: start, reload, stop, wiring."""
 
 import gc
 import logging
@@ -10,7 +10,7 @@
 from laurelcourse import interface as face
 from laurelcourse.net.choices import Choices
 from laurelcourse.net.clients import Clients
-from laurelcourse.net.config import Config
+from laurelcourse.net.config import Config, ConfigError
 from laurelcourse.net.counters import Counters
 from laurelcourse.net.deployer import Deployer
 from laurelcourse.net.directory import Directory
@@ -19,12 +19,14 @@
 from laurelcourse.net.units import Units
 
 log = logging.getLogger(__name__)
-HEARD = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1)
+HEARD = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1)
+MOVES = ("directory", "deployer")     # what a new configuration changes
+TOLD_ANEW = (*MOVES, "known", "news")  # of these the relay has heard later than the file was written
 
 
 class Relay:
-    def __init__(self, config: Config) -> None:
-        self.config, self.limits, self.counters = config, config.limits, Counters()
+    def __init__(self, config: Config, reread: Callable[[], Config]) -> None:
+        self.config, self.limits, self.counters, self.reread = config, config.limits, Counters(), reread
         self.scheduler = Scheduler(Clock(), lambda: self.counters.add("tasks_died"))
         self.choices = Choices(self.scheduler, config.settings, config.seed, self.counters)
         self.units = Units(self.scheduler, config, self.counters)
@@ -84,10 +86,29 @@
             for number in wakeup.recv(64):
                 if number == signal.SIGUSR1:
                     log.info("counters", extra=self.counters.fields())
+                elif number == signal.SIGHUP:
+                    self.scheduler.spawn(self._reload)
                 elif number in (signal.SIGTERM, signal.SIGINT) and not self.stopping:
                     self.stopping = True
                     self.scheduler.spawn(self._stop)
 
+    def _reload(self) -> None:
+        """Directory and deployer move; all that is open or learned stays, and so does what can't change."""
+        try:
+            found = self.reread()
+        except ConfigError as error:
+            log.warning("configuration not taken", extra={"fault": error})
+            return
+        kept = [name for name in Config._fields
+                if name not in TOLD_ANEW and getattr(found, name) != getattr(self.config, name)]
+        moved = [name for name in MOVES if getattr(found, name) != getattr(self.config, name)]
+        self.config = self.config._replace(directory=found.directory, deployer=found.deployer)
+        self.directory.move(found.directory)
+        self.deployer.move(found.deployer)
+        log.info("configuration taken", extra={"moved": ",".join(moved)})
+        if kept:
+            log.warning("a change that needs a restart", extra={"fields": ",".join(kept)})
+
     def _stop(self) -> None:
         """Accepts while connections still come, closes each between reqs, answers what was taken."""
         log.info("stopping", extra={"clients": len(self.clients.open)})
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -236,6 +236,45 @@
     assert served.count("notices_unreadable") == 2
 
 
+def test_a_new_configuration_moves_directory_and_deployer_under_load(
+        serve: Callable[..., Served]) -> None:
+    served = serve(modes="slow0.2")
+    until(lambda: served.directory.calls > 1 and served.deployer.streams)
+    open_before = served.client()
+    for turn in range(2):
+        open_before.send(sql("once"))
+        late, directory, deployer = UnitStand(), DirectoryStand(), DeployerStand()
+        directory.put(f"s-{turn}", late.at)
+        config = served.config | {"discovery": directory.at, "name": "other" if turn else "n0"}
+        config["pipeline"] = served.config["pipeline"] | {"address": deployer.at}
+        served.path.write_text("{" if turn else json.dumps(config | {"listen": "nowhere"}))
+        served.process.send_signal(signal.SIGHUP)
+        until(lambda turn=turn: served.log.read_text().count("configuration not taken") == turn + 1)
+        served.path.write_text(json.dumps(config))
+        served.process.send_signal(signal.SIGHUP)
+        until(lambda deployer=deployer: deployer.streams, 1)
+        until(lambda late=late: served.client().ask(sql())[:2] == COMPLETED and late.queries, 1)
+        assert open_before.answer()[:2] == COMPLETED and not directory.calls > 9
+        until(lambda: served.deployer.streams[-1].fileno() < 0, 1)
+        served.deployer = deployer
+    assert 'needs a restart" fields=name' in served.log.read_text()
+    assert served.count("directory_failed") == 0 == served.count("tasks_died")
+
+
+def test_a_vote_goes_to_the_new_address(serve: Callable[..., Served]) -> None:
+    served, deployer = serve(units=4, builds=(1, 1, 2, 2), news=TRIAL), DeployerStand()
+    served.deployer.mode, deployer.news = "silent", TRIAL
+    for unit in served.units[2:]:
+        unit.mode = "failed"
+    client = served.client()
+    until(lambda: client.ask(sql()) and served.deployer.votes)
+    served.config["pipeline"]["address"] = deployer.at
+    served.path.write_text(json.dumps(served.config))
+    served.process.send_signal(signal.SIGHUP)
+    until(lambda: client.ask(sql()) and deployer.votes)
+    assert served.count("votes.unanswered") > 0
+
+
 def test_datagrams_of_peers_alone_are_heard(serve: Callable[..., Served]) -> None:
     served = serve()
     assert 2 <= len(served.peer.recv(1000)) <= messages.MOST
