Units, directory and deployer are read strictly, and noise is told from its head

Change: each message of a unit is checked in kind, length and content; an answer that does not go on for half a second is spoilt; a code counts only behind ReadyForQuery, or as fatal before the end. What is behind a whole answer closes the connection, and one rests 50 ms before it is used again, so that a late second copy is seen. Numbers are finite and in range before the module hears them; an unreadable event reopens the stream; a part of a list or a vote's answer is given up after half a second. Ruled out: no rest at all between answers let a copy 5 ms late pass for the next row, and 20 ms did so once in a test on this machine.

--- a/laurelcourse/net/calls.py
+++ b/laurelcourse/net/calls.py
@@ -11,11 +11,13 @@
 
 
 def answer(conn: Connection, until: int, most: int) -> Response:
-    """The whole answer; raises on one that breaks, stays out or can't be read."""
-    found = Response(most)
+    """The whole answer; raises on one that breaks, stays out, stops half-way or can't be read."""
+    found, begun = Response(most), False
     while not found.done:
         reason = conn.read(until)
         if reason == GOT:
+            if not begun:
+                begun, until = True, min(until, conn.scheduler.now() + conn.limits.part)
             found.feed(conn.buffer.take())
         elif reason == ENDED:
             found.ended()
--- a/laurelcourse/net/deployer.py
+++ b/laurelcourse/net/deployer.py
@@ -37,7 +37,7 @@
         self.vote_timeout = config.settings.vote_timeout
         self.routes = {route.name for route in config.settings.routes}
         self.changed, self.moved = Mailbox(scheduler), Mailbox(scheduler)
-        self.odd: set[str] = set()  # kinds of notices that could not be read when they last came
+        self.stages = len(config.settings.stage_caps)
         self.pauses = Pauses(config.limits, config.seed, "notices stream")
 
     def move(self, address: Address) -> None:
@@ -60,8 +60,9 @@
             try:
                 found = answer(conn, until, self.limits.body)
                 status, told = forms.end_of_vote(found.head.status, found.take())
-            except (HttpError, FormError) as error:
-                status = face.UNANSWERED
+                self._check(told)
+            except (HttpError, FormError, ValueError) as error:
+                status, told = face.UNANSWERED, forms.NOWHERE
                 log.warning("a vote without an answer", extra={"fault": error})
         if conn:
             conn.close()
@@ -115,7 +116,8 @@
                         self._notice(name, http.form(data))
                         stream.spoke = True
                         self.changed.put(None)
-        except HttpError as error:
+        except (HttpError, FormError, ValueError) as error:
+            # What it says from here on can't be told apart from noise.
             self.counters.add("notices_unreadable")
             log.warning("a notices stream can't be read", extra={"fault": error})
         finally:
@@ -125,14 +127,15 @@
 
     def _notice(self, name: str, fields: dict[str, str]) -> None:
         self.counters.add("notices")
-        try:
-            if name == "progress":
-                self.choices.stage(forms.state(fields))
-            elif name == "metrics" and fields.get("class") in self.routes:
-                self.choices.tally(forms.tally(fields))
-            self.odd.discard(name)
-        except FormError as error:
-            self.counters.add("notices_unreadable")
-            if name not in self.odd:
-                log.warning("a notice can't be read", extra={"fault": error})
-            self.odd.add(name)
+        if name == "progress":
+            told = forms.state(fields)
+            self._check(told)
+            self.choices.stage(told)
+        elif name == "metrics":
+            counted = forms.tally(fields)
+            if counted.route in self.routes:
+                self.choices.tally(counted)
+
+    def _check(self, told: forms.State) -> None:
+        if told.standing == face.ON_TRIAL and told.stage >= self.stages:
+            raise FormError(f"no stage {told.stage}")
--- a/laurelcourse/net/directory.py
+++ b/laurelcourse/net/directory.py
@@ -1,7 +1,5 @@
 """The directory: one watch of the list of units behind another."""
 
-import json
-
 from laurelcourse import interface as face
 from laurelcourse.net import http
 from laurelcourse.net.calls import Pauses, answer
@@ -9,7 +7,7 @@
 from laurelcourse.net.config import Config
 from laurelcourse.net.connection import Connection
 from laurelcourse.net.counters import Counters
-from laurelcourse.net.forms import Address, FormError, Members, members
+from laurelcourse.net.forms import Address, FormError, Members, decoded, members
 from laurelcourse.net.http import HttpError
 from laurelcourse.net.scheduler import Mailbox, Scheduler
 from laurelcourse.net.units import Units
@@ -97,7 +95,7 @@
             raise HttpError(f"status {found.head.status}")
         if found.head.closes:
             self._hang_up()
-        return members(json.loads(found.take()))
+        return members(decoded(found.take()))
 
     def _hang_up(self) -> None:
         if self.conn:
--- a/laurelcourse/net/http.py
+++ b/laurelcourse/net/http.py
@@ -1,10 +1,15 @@
 """HTTP/1.1 as a caller needs it: requests, answers, chunks, event streams. Pure: no sockets."""
 
+import re
 from typing import NamedTuple
 from urllib.parse import parse_qsl, urlencode
 
 FORM = "application/x-www-form-urlencoded"
 MOST_HEAD = 16 << 10
+FIRST = re.compile(r"HTTP/1\.[01] ([1-5][0-9]{2})(?: [^\x00-\x1f\x7f]*)?")
+FIELD = re.compile(r"([-!#$%&'*+.^_`|~0-9A-Za-z]+):[ \t]*([^\x00-\x08\x0a-\x1f\x7f]*?)[ \t]*")
+LENGTH, SIZE = re.compile(r"[0-9]{1,12}"), re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;[^\r\n]*)?")
+WORD = re.compile(r"[a-z_]+")
 
 
 class HttpError(Exception):
@@ -34,15 +39,11 @@
 
 
 def head(raw: bytes) -> Head:
-    try:
-        first, *lines = raw.decode("latin-1").split("\r\n")
-        version, status, *_ = first.split(" ", 2)
-        if not version.startswith("HTTP/1.") or len(status) != 3:
-            raise ValueError(first)
-        parts = (line.partition(":") for line in lines)
-        return Head(int(status), {name.strip().lower(): value.strip() for name, _, value in parts})
-    except ValueError:
-        raise HttpError("an unreadable head") from None
+    first, *lines = raw.decode("latin-1").split("\r\n")
+    status, fields = FIRST.fullmatch(first), [FIELD.fullmatch(line) for line in lines]
+    if not status or not all(fields):
+        raise HttpError("an unreadable head")
+    return Head(int(status[1]), {field[1].lower(): field[2] for field in fields})
 
 
 class Chunks:
@@ -76,12 +77,9 @@
                 if self.trailing:
                     self.done = not line
                     continue
-                try:
-                    size = int(line.partition(b";")[0], 16)
-                except ValueError:
-                    raise HttpError("an unreadable chunk size") from None
-                if size < 0:
-                    raise HttpError("a chunk of negative size")
+                if not (said := SIZE.fullmatch(line)):
+                    raise HttpError("an unreadable chunk size")
+                size = int(said[1], 16)
                 self.trailing, self.left = size == 0, size + 2 if size else 0
         return b"".join(out)
 
@@ -108,7 +106,7 @@
             self.chunks = Chunks() if self.head.chunked else None
             length = self.head.fields.get("content-length")
             if length is not None and self.chunks is None:
-                if not length.isdigit():
+                if not LENGTH.fullmatch(length):
                     raise HttpError("an unreadable length")
                 self.left = int(length)
             if self.head.status in (204, 304):
@@ -148,10 +146,15 @@
             raise HttpError("an event's line without end")
         found = []
         for raw in lines:
-            line = raw.rstrip(b"\r").decode("utf-8", "replace")
+            try:
+                line = raw.rstrip(b"\r").decode()
+            except UnicodeDecodeError:
+                raise HttpError("an event of other bytes") from None
             name, _, value = line.partition(":")
             value = value.removeprefix(" ")
             if not line:
+                if self.data and not WORD.fullmatch(self.name):
+                    raise HttpError("an event without a name")
                 if self.data:
                     found.append((self.name, "\n".join(self.data)))
                 self.name, self.data = "", []
@@ -159,6 +162,8 @@
                 self.name = value
             elif name == "data":
                 self.data.append(value)
+            elif name not in ("", "id", "retry"):
+                raise HttpError("an unreadable line in an event")
         return found
 
 
--- a/laurelcourse/net/limits.py
+++ b/laurelcourse/net/limits.py
@@ -27,6 +27,8 @@
     penance: int              # before the answer to a fault that was repeated, or that ends the connection
     unfinished: int           # bytes of clients' unfinished messages, all together
     drained: int              # bytes passed over while a connection closes
+    part: int                 # from the first byte of another's answer to its next message, or its end
+    settle: int               # a connection to a unit rests so long: what comes unasked shows by then
     watch: int                # how long a watch of the directory may wait
     watch_grace: int          # and how much later its answer may come
     silence: int              # a notices stream without a sign of life
@@ -53,6 +55,7 @@
         connect=tree.micros("settings.limits.connect_timeout"), idle=idle - min(idle // 10, SECOND),
         patience=5 * SECOND, begin=23 * SECOND // 10, spare=21 * SECOND // 10, faults=4, penance=SECOND // 2,
         unfinished=max(memory >> 3, 2 * message), drained=1 << 18,
+        part=SECOND // 2, settle=SECOND // 20,
         watch=5 * SECOND, watch_grace=SECOND, silence=3 * SECOND,
         pause_first=SECOND // 20, pause_most=SECOND, stop_quiet=3 * SECOND // 10,
         stop_accept=6 * SECOND // 10, stop_drain=SECOND // 2)
--- a/laurelcourse/net/postgres.py
+++ b/laurelcourse/net/postgres.py
@@ -21,6 +21,15 @@
 TIME = re.compile(rb"[*, ]d=")
 
 
+# What a unit may send, and how long each message may be said to be; a row as long as the reader allows.
+LONGEST = {ord(letter): most for letter, most in (
+    ("R", 4096), ("S", 8192), ("K", 64), ("Z", 5), ("T", 4096), ("D", None), ("C", 64), ("E", 8192),
+    ("N", 8192), ("A", 8192))}
+TAG = re.compile(rb"(?:SELECT 1|INSERT 0 1|SHOW)\0")
+CODE = re.compile(r"[0-9A-Z]{5}")
+LOAD = re.compile(r" *([^=, ]+) *= *(\d{1,15}(?:\.\d{1,15})?) *")
+
+
 class ProtocolError(Exception):
     """What the other side sent can't be taken; `code` is its SQLSTATE."""
 
@@ -66,6 +75,16 @@
     return found if length > most or found.end <= end else None
 
 
+def frame_of_unit(data: bytearray, start: int, end: int, most: int) -> Frame | None:
+    """A unit's next whole message; noise and lengths that don't fit are told from its head."""
+    if end > start and data[start] not in LONGEST:
+        raise FramingError(VIOLATION, "an unknown message")
+    found = frame(data, start, end, most)
+    if end - start >= 5 and LENGTH.unpack_from(data, start + 1)[0] > (LONGEST[data[start]] or most):
+        raise FramingError(VIOLATION, "a message over the limit")
+    return found
+
+
 def code_of_startup(payload: bytes) -> int:
     """SSL, GSS or CANCEL as they are; else the protocol's major version."""
     code = WORD.unpack_from(payload)[0]
@@ -147,36 +166,37 @@
 
 
 def fields_of_error(payload: bytes) -> dict[str, str]:
-    parts = payload.rstrip(b"\0").split(b"\0")
-    return {part[:1].decode("latin-1"): part[1:].decode("latin-1") for part in parts if part}
+    """An error's fields; raises unless they stand as they must and hold a code."""
+    parts = payload.decode("latin-1").split("\0")
+    found = {part[:1]: part[1:] for part in parts[:-2]}
+    if parts[-2:] != ["", ""] or len(found) != len(parts) - 2 or not (
+            {"S", "C", "M"} <= found.keys() and all(found.values()) and CODE.fullmatch(found["C"])):
+        raise ProtocolError(VIOLATION, "an unreadable error")
+    return found
 
 
 def parameter(payload: bytes) -> tuple[str, str]:
-    name, _, value = payload.rstrip(b"\0").partition(b"\0")
-    return name.decode("latin-1"), value.decode("latin-1")
+    name, *value = payload.decode("latin-1").split("\0")
+    if not name or len(value) != 2 or value[1]:
+        raise ProtocolError(VIOLATION, "an unreadable parameter")
+    return name, value[0]
 
 
 def report(words: str) -> dict[str, float]:
-    """A load report: `name=number` set apart by commas; what can't be read is passed over."""
-    found = {}
-    for part in words.split(","):
-        name, _, number = part.partition("=")
-        try:
-            found[name.strip()] = float(number)
-        except ValueError:
-            continue
-    return found
+    """A load report: `name=number` set apart by commas; with anything unreadable in it, none."""
+    found = [LOAD.fullmatch(part) for part in words.split(",")]
+    return {one[1]: float(one[2]) for one in found} if all(found) else {}
 
 
 class Answer:
     """What a unit answers to one query, message by message."""
 
-    __slots__ = ("code", "kept", "load", "ready", "stage")
+    __slots__ = ("code", "fatal", "kept", "load", "ready", "stage")
 
     def __init__(self) -> None:
         self.kept: list[bytes] = []
         self.stage = self.code = ""
-        self.ready = False
+        self.ready = self.fatal = False
         self.load: dict[str, float] = {}
 
     def take(self, raw: bytes, parameter_of_load: str) -> None:
@@ -186,17 +206,25 @@
             self.stage += letter.decode()
             if self.code or not "TDC".startswith(self.stage):
                 raise ProtocolError(VIOLATION, f"message {letter!r} out of place")
-            # One column; the row's is as long as the message says, and not null.
-            if letter != b"C" and (raw[5:7] != b"\0\1" or (letter == b"D" and (
-                    len(raw) < 11 or WORD.unpack_from(raw, 7)[0] != len(raw) - 11))):
+            # One column with a name; the row's as long as the message says, not null; a tag of one row.
+            if letter == b"T":
+                right = raw[5:7] == b"\0\1" and 7 < raw.find(b"\0", 7) == len(raw) - 19
+            elif letter == b"D":
+                right = len(raw) >= 11 and raw[5:11] == b"\0\1" + WORD.pack(len(raw) - 11)
+            else:
+                right = TAG.fullmatch(raw, 5)
+            if not right:
                 raise ProtocolError(VIOLATION, "a row of another shape")
             self.kept.append(raw)
         elif letter == b"Z":
-            self.ready = bool(self.code) or self.stage == "TDC"
+            self.ready = raw[5:] == b"I" and (bool(self.code) or self.stage == "TDC")
             if not self.ready:
                 raise ProtocolError(VIOLATION, "ready without a whole answer")
         elif letter == b"E":
-            self.code = fields_of_error(raw[5:]).get("C", SYSTEM)
+            if self.code or self.stage == "TDC":
+                raise ProtocolError(VIOLATION, "an error out of place")
+            fields = fields_of_error(raw[5:])
+            self.code, self.fatal = fields["C"], fields["S"] in ("FATAL", "PANIC")
         elif letter == b"S":
             name, words = parameter(raw[5:])
             self.load = report(words) if name == parameter_of_load else self.load
--- a/laurelcourse/net/units.py
+++ b/laurelcourse/net/units.py
@@ -117,7 +117,10 @@
             if left <= 0 or box.items or not conn.write(query(left), until):
                 return face.CANCELLED if box.items else face.UNREACHED
             ended = self._answered(conn, until, answer, box)
-            if answer.ready and not conn.buffer:
+            if answer.ready and conn.buffer:
+                # The answer was whole; what is behind it must not pass for the next req's.
+                self.counters.add("units_unasked")
+            elif answer.ready:
                 self._keep(place, conn)
                 conn = None
         finally:
@@ -128,37 +131,41 @@
                 log.warning("a unit speaks nonsense", extra={"unit": place.address})
             place.odd = True
             return face.RESET  # whatever it said before, its try may have run
-        if answer.code:
+        # A code counts once nothing can follow it: a spoilt 53300 must not pass for a try that never ran.
+        if answer.code and (answer.ready or (answer.fatal and ended == face.RESET)):
             return face.BUSY if answer.code == postgres.TURNED_AWAY else face.FAILED
         return face.OK if answer.whole() else ended
 
     def _answered(self, conn: Connection, until: int, answer: Answer, box: Mailbox) -> str:
         """Reads until the answer is whole, and tells how that ended."""
         while not answer.ready:
-            found = self._message(conn, until, box)
+            found = self._message(conn, until, box, bool(answer.stage or answer.code))
             if isinstance(found, str):
-                return found
+                # All but the last word: the connection is not used again, the row stands.
+                return face.RESET if answer.whole() and not conn.buffer else found
             try:
                 answer.take(found, LOAD_REPORT)
             except ProtocolError as error:
                 return self._nonsense(error)
-        return self._nonsense("bytes behind an answer") if conn.buffer else face.OK
+        return face.OK
 
-    def _message(self, conn: Connection, until: int, box: Mailbox) -> bytes | str:
-        """The unit's next message, or how the wait for it ended."""
-        buffer = conn.buffer
+    def _message(self, conn: Connection, until: int, box: Mailbox, begun: bool = False) -> bytes | str:
+        """The unit's next message, or how the wait for it ended; an answer that has begun goes on soon."""
+        buffer, due = conn.buffer, None
         while True:
             try:
-                found = postgres.frame(buffer.data, buffer.start, buffer.end, buffer.most)
+                found = postgres.frame_of_unit(buffer.data, buffer.start, buffer.end, self.limits.message)
             except ProtocolError as error:
                 return self._nonsense(error)
-            if found and found.end <= buffer.end:
+            if found:
                 raw = bytes(buffer.data[buffer.start:found.end])
                 buffer.start = found.end
                 return raw
-            if found:
-                return self._nonsense("a message over the limit")
-            reason = conn.read(until, box)
+            if due is None and (begun or buffer):
+                due = self.scheduler.now() + self.limits.part
+            reason = conn.read(min(until, due or until), box)
+            if reason == LATE and due and due < until:
+                return self._nonsense("an answer that does not go on")
             if reason != GOT:
                 return {MAIL: face.CANCELLED, LATE: face.TIMEOUT}.get(reason, face.RESET)
 
@@ -169,11 +176,8 @@
 
     def _connection(self, place: Place, until: int) -> tuple[Connection | None, str]:
         """A clean idle one, else a new one; or why there is none. Nothing has run yet in either case."""
-        while place.idle:
-            since, conn = place.idle.pop()
-            if conn.clean() and self.scheduler.now() - since < self.limits.idle:
-                return conn, face.OK
-            self._close(conn)
+        if conn := self._rested(place):
+            return conn, face.OK
         if self.open >= self.limits.upstream and not self.drop_idle():
             self.counters.add("units_no_descriptor")
             return None, face.UNREACHED
@@ -190,15 +194,29 @@
             return None, status
         return conn, status
 
+    def _rested(self, place: Place) -> Connection | None:
+        """The one used last among those that have rested, so that a second answer would have come by now."""
+        now, fresh, found = self.scheduler.now(), [], None
+        while place.idle and not found:
+            since, conn = place.idle.pop()
+            if now - since < self.limits.settle:
+                fresh.append((since, conn))
+            elif now - since < self.limits.idle and conn.clean():
+                found = conn
+            else:
+                self._close(conn)
+        place.idle.extend(reversed(fresh))
+        return found
+
     def _welcomed(self, conn: Connection, until: int) -> str:
         if not conn.write(self.hello, until):
             return face.UNREACHED
         while not isinstance(found := self._message(conn, until, Mailbox(self.scheduler)), str):
             if found[:1] == b"Z":
-                return face.OK
+                return face.OK if not conn.buffer else face.UNREACHED
             if found[:1] == b"E":
-                code = postgres.fields_of_error(found[5:]).get("C")
-                return face.BUSY if code == postgres.TURNED_AWAY else face.UNREACHED
+                busy = b"\0C%b\0" % postgres.TURNED_AWAY.encode() in found
+                return face.BUSY if busy else face.UNREACHED
         return face.UNREACHED
 
     def _keep(self, place: Place, conn: Connection) -> None:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -195,6 +195,8 @@
         "!IHI", len(LARGE) + 10, 1, len(LARGE)) + LARGE) + IDLE,
     "ok": ROW + IDLE, "busy": failure("53300") + IDLE, "failed": failure("XX000") + IDLE,
     "nonsense": b"HTTP/1.1 400 Bad\r\n\r\n", "twice": ROW + ROW + IDLE, "unready": ROW, "torn": ROW[:-3],
+    "half": ROW[:-20], "huge": TOLD + b"D\xb3\0\0\0\0\1\xb3", "false": failure("53300"),
+    "more": ROW + IDLE + ROW, "noise": ROW + IDLE + b"\0\xff",
     "shape": TOLD + pg(b"D", b"\0\2\0\0\0\1a\0\0\0\1b") + pg(b"C", b"SELECT 1\0") + IDLE,
     "noisy": pg(b"N", b"SNOTICE\0\0") + pg(b"S", b"gauges\0avg_ms=3\0") + ROW + IDLE}
 
@@ -220,6 +222,9 @@
                 time.sleep(float(self.mode[4:]))
             if self.mode != "silent":
                 conn.sendall(UNIT_ANSWERS.get(self.mode, ROW + IDLE))
+            if self.mode == "late":
+                time.sleep(0.005)
+                conn.sendall(ROW.replace(b"\x9f\x03", b"\x66\x66") + IDLE)
             if self.mode in ("unready", "torn"):
                 return None
 
@@ -260,6 +265,9 @@
             time.sleep(0.005)
         if self.mode == "silent":
             raise EOFError
+        if self.mode == "half":
+            conn.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{")
+            return
         broken = {"status": (500, "{}"), "json": (200, '{"revision":'), "fields": (200, '{"revision": 3}')}
         self.reply(conn, *broken.get(self.mode, (200, json.dumps(self.whole()))))
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1,5 +1,6 @@
 """Parsers with input split at every byte; the scheduler's waits."""
 
+import json
 import os
 import socket
 from types import SimpleNamespace
@@ -15,6 +16,7 @@
 from laurelcourse.net.units import Units
 from laurelcourse.settings import Tree
 
+TAGGED = ROW.replace(b"\x0dSELECT 1", b"\x0fINSERT 0 1")
 CHUNKED = (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
            b"5;x=1\r\nhello\r\nA\r\n0123456789\r\n0\r\nTrailer: x\r\n\r\n")
 
@@ -38,21 +40,24 @@
     b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nmore",
     b"HTTP/1.1 200 OK\r\nContent-Length: 999\r\n\r\n" + bytes(200),
     CHUNKED.replace(b"5;", b"g;"), CHUNKED.replace(b"hello\r\n", b"hello.."), CHUNKED.replace(b"5;", b"-5;"),
-    CHUNKED + b"more", b"x" * (1 << 15)])
+    CHUNKED + b"more", b"x" * (1 << 15), CHUNKED.replace(b"5;", b"+5;"), CHUNKED.replace(b"5;", b"0x5;"),
+    b"HTTP/1.1 200 OK\r\nContent-Length: \xb2\r\n\r\n", b"HTTP/1.1 \xb2\xb2\xb2 OK\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nno colon\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent\x07Length: 1\r\n\r\n"])
 def test_a_bad_answer_is_refused(raw: bytes) -> None:
     with pytest.raises(http.HttpError):
         http.Response(100).feed(raw)
 
 
 def test_events_are_the_same_however_they_are_split() -> None:
-    raw = (b": life\n:\n\nevent: one\ndata: a=1&b=2\n\ndata: x\ndata: y\r\n\r\n"
-           b"event: none\n\nid: 3\ndata:z\n\n")
-    whole = [("one", "a=1&b=2"), ("", "x\ny"), ("", "z")]
+    raw = (b": life\n:\n\nevent: one\ndata: a=1&b=2\n\nevent: two\ndata: x\ndata: y\r\n\r\n"
+           b"event: none\n\nid: 3\nevent:three\ndata:z\n\n")
+    whole = [("one", "a=1&b=2"), ("two", "x\ny"), ("three", "z")]
     for cut in range(len(raw) + 1):
         events = http.Events(100)
         assert events.feed(raw[:cut]) + events.feed(raw[cut:]) == whole
-    with pytest.raises(http.HttpError):
-        http.Events(100).feed(bytes(101))
+    for bad in (bytes(101), b"evont: one\n", b"event: o\xffe\n", b"data: x\n\n", b"event: O*E\ndata: x\n\n"):
+        with pytest.raises(http.HttpError):
+            http.Events(100).feed(bad)
 
 
 def test_frames_wait_for_their_last_byte() -> None:
@@ -67,15 +72,68 @@
 
 @pytest.mark.parametrize("raw, whole, code, ready", [
     (ROW + IDLE, ROW, "", True), (failure("53300") + IDLE, None, "53300", True), (ROW, ROW, "", False),
-    (failure("XX000"), None, "XX000", False)])
+    (failure("XX000"), None, "XX000", False), (TAGGED + IDLE, TAGGED, "", True)])
 def test_a_units_answer(raw: bytes, whole: bytes | None, code: str, ready: bool) -> None:
     answer, at = postgres.Answer(), 0
-    while found := postgres.frame(raw, at, len(raw), 1000):
+    while found := postgres.frame_of_unit(raw, at, len(raw), 1000):
         answer.take(raw[at:found.end], "gauges")
         at = found.end
     assert (answer.whole(), answer.code, answer.ready) == (whole, code, ready)
 
 
+@pytest.mark.parametrize("raw", [
+    ROW.replace(b"blob\0", b"blobs"), ROW.replace(b"\0\1blob", b"\0\2blob"),
+    ROW.replace(b"SELECT 1", b"SELECT x"), ROW.replace(b"SELECT 1", b"SELECT 2"),
+    ROW.replace(b"SELECT 1\0", b"SELECT 10"),
+    ROW.replace(b"\0\0\0\2\x9f", b"\0\0\0\3\x9f"), ROW.replace(b"\0\0\0\2\x9f", b"\xff\xff\xff\xff\x9f"),
+    ROW + pg(b"Z", b"T"), ROW + pg(b"Z", b""), ROW + pg(b"Z", b"II"), ROW + failure("53300"),
+    failure("53300") + ROW, failure("53300") * 2, failure("533"),
+    failure("53300").replace(b"\0Mno\0\0", b"\0Mno!!"), failure("53300").replace(b"Mno", b"\xffno"),
+    pg(b"E", b"C53300\0\0"), pg(b"E", b""), pg(b"S", b"gauges\0x"), pg(b"S"), b"HTTP/1.1 400", pg(b"?"),
+    b"D\xb3\0\0\0", b"T\0\1\0\0", b"Z\0\0\0\6", b"C\0\0\0\3"])
+def test_a_spoilt_answer_is_refused_before_it_is_whole(raw: bytes) -> None:
+    answer, at = postgres.Answer(), 0
+    with pytest.raises(postgres.ProtocolError):
+        while found := postgres.frame_of_unit(raw, at, len(raw), 1000):
+            answer.take(raw[at:found.end], "gauges")
+            at = found.end
+
+
+@pytest.mark.parametrize("words, load", [
+    ("inflight=7,util=0.61", {"inflight": 7, "util": 0.61}), ("avg_ms=nan", {}), ("a=1,b=inf", {}),
+    ("a=-1", {}),
+    ("a=1,b", {}), ("a=1,", {}), ("", {}), ("a=1e999", {}), ("a=\u00b2", {})])
+def test_a_load_report_is_taken_whole_or_not_at_all(words: str, load: dict) -> None:
+    assert postgres.report(words) == load
+
+
+@pytest.mark.parametrize("change", [
+    {"revision": -1}, {"revision": 1e40}, {"revision": True}, {"complete": "yes"}, {"members": [None]},
+    {"id": 5}, {"id": ""}, {"locality": "\x07"}, {"phase": "act\u00efve"}, {"revision_no": 1 << 32},
+    {"revision_no": 1.5}, {"revision_no": "x"}, {"size": -1}, {"size": float("inf")}, {"cell": "\u00b2"},
+    {"up_since_ms": float("nan")}, {"up_since_ms": 1e300}, {"host_port": "127.0.0.1"},
+    {"host_port": "h:\u00b2"}, {"host_port": "h:" + "9" * 5000}])
+def test_a_list_is_taken_whole_or_not_at_all(change: dict) -> None:
+    one = {"id": "s", "host_port": "h:1", "locality": "a", "phase": "active", "revision_no": 1}
+    root = {"revision": 1, "complete": True, "members": [one]}
+    assert len(forms.members(root).entries) == 1
+    for name, value in change.items():
+        (root if name in root else one)[name] = value
+    with pytest.raises(forms.FormError):
+        forms.members(forms.decoded(json.dumps(root).encode()))
+
+
+@pytest.mark.parametrize("name, value", [
+    ("cap", "nan"), ("cap", "1.5"), ("cap", "-0.1"), ("cap", "0x1"), ("build", "4294967296"),
+    ("build", "1_0"), ("age_ms", "inf"), ("age_ms", "1e99"), ("stage", " 1"), ("phase", "Gone"),
+    ("age_ms", None)])
+def test_no_number_out_of_range_is_told(name: str, value: str | None) -> None:
+    fields = {"build": "42", "stage": "1", "phase": "Progressing", "cap": "0.28", "age_ms": "310"}
+    assert forms.state(fields).since == 310_000
+    with pytest.raises(forms.FormError):
+        forms.state(fields | {name: value})
+
+
 def test_a_statement_passes_on_but_for_its_time() -> None:
     text = sql("mark", 480, ",r=1,novel=7")
     for words in (text, text.replace("/* id", "/*d=480,id").replace(",d=480,r", ",r").replace(" */", "*/")):
@@ -163,8 +221,8 @@
 
 
 @pytest.mark.parametrize("idle, between, connections", [
-    (30_000, None, 1), (30_000, "build", 2), (30_000, "since", 2), (30_000, "gone", 2), (30_000, "closed", 2),
-    (5, "wait", 2)])
+    (30_000, None, 1), (30_000, "at once", 2), (30_000, "build", 2), (30_000, "since", 2),
+    (30_000, "gone", 2), (30_000, "closed", 2), (5, "wait", 2)])
 def test_a_connection_is_used_again_only_if_it_is_clean(
         scheduler: Scheduler, idle: int, between: str | None, connections: int) -> None:
     stand = UnitStand()
@@ -184,7 +242,7 @@
             units.listed([(listed, (STAND_IN, stand.port))], False)
         elif between == "closed":
             stand.conns[0].shutdown(socket.SHUT_RDWR)
-        scheduler.sleep(10_000)
+        scheduler.sleep(0 if between == "at once" else 80_000)
         units.begin(0, 7, 1_000_000, postgres.statement(sql().encode()), box)
         found.append(box.get()[3])
     task = scheduler.spawn(work)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -61,8 +61,9 @@
     ("busy", "once", SHED, 3), ("busy", "mark", SHED, 3), ("failed", "once", ERRORED, 1),
     ("failed", "read", SHED, 3), ("reset", "once", ERRORED, 1), ("reset", "read", SHED, 3),
     ("silent", "once", ERRORED, 1), ("nonsense", "once", ERRORED, 1), ("twice", "once", ERRORED, 1),
-    ("torn", "once", ERRORED, 1),
-    ("shape", "once", ERRORED, 1), ("early", "once", SHED, 0), ("full", "once", SHED, 0),
+    ("torn", "once", ERRORED, 1), ("half", "once", ERRORED, 1), ("huge", "once", ERRORED, 1),
+    ("false", "once", ERRORED, 1), ("shape", "once", ERRORED, 1), ("early", "once", SHED, 0),
+    ("full", "once", SHED, 0),
     ("mute", "once", SHED, 0), ("closed", "once", SHED, 0)])
 def test_what_may_have_run_is_told_from_what_never_ran(
         serve: Callable[..., Served], mode: str, route: str, end: tuple, queries: int) -> None:
@@ -76,6 +77,15 @@
     assert len(served.queries()) == queries
 
 
+@pytest.mark.parametrize("mode", ["more", "noise", "late"])
+def test_what_follows_a_whole_answer_is_never_the_next_reqs(serve: Callable[..., Served], mode: str) -> None:
+    served = serve(units=1, modes=mode)
+    for _ in range(10):
+        letters, code, row = served.client().ask(sql("once"))
+        assert (letters, code) == COMPLETED and pg(b"D", row) in ROW
+    assert served.count("tries.ok") == 10 and len(served.units[0].conns) >= 5
+
+
 def test_the_directory_moves_reqs_between_units(serve: Callable[..., Served]) -> None:
     served, moved = serve(units=1), UnitStand()
     client, (first,) = served.client(), served.units
@@ -181,7 +191,7 @@
     assert "Traceback" not in served.log.read_text()
 
 
-@pytest.mark.parametrize("mode", ["silent", "status", "json", "fields"])
+@pytest.mark.parametrize("mode", ["silent", "status", "json", "fields", "half"])
 def test_a_directory_that_speaks_badly_leaves_the_last_list(serve: Callable[..., Served], mode: str) -> None:
     served = serve()
     until(lambda: served.directory.calls)
@@ -221,7 +231,7 @@
     assert mode == "closed" or ("CastVote", "2", "stop") in verdicts
 
 
-def test_a_lost_notices_stream_is_opened_anew(serve: Callable[..., Served]) -> None:
+def test_a_lost_or_unreadable_notices_stream_is_opened_anew(serve: Callable[..., Served]) -> None:
     served = serve(units=4, builds=(1, 1, 2, 2), news=TRIAL.replace("cap=1", "cap=0").replace(
         "Progressing", "Aborting"))
     until(lambda: served.deployer.streams)
@@ -231,15 +241,16 @@
     assert not served.units[2].queries and not served.units[3].queries
     served.deployer.news = TRIAL.replace("Progressing", "Healthy")
     served.deployer.tell("event: progress\ndata: build=soon\n\nevent: metrics\ndata: class=read&build=2\n\n")
-    served.deployer.streams.pop().shutdown(socket.SHUT_RDWR)
-    until(lambda: client.ask(sql())[:2] == COMPLETED and served.units[2].queries)
-    assert served.count("notices_unreadable") == 2
+    until(lambda: client.ask(sql())[:2] == COMPLETED and served.units[2].queries, 1)
+    served.deployer.streams[-1].shutdown(socket.SHUT_RDWR)
+    until(lambda: len(served.deployer.streams) == 3, 1)
+    assert served.count("notices_unreadable") == 1
 
 
 def test_a_new_configuration_moves_directory_and_deployer_under_load(
         serve: Callable[..., Served]) -> None:
     served = serve(modes="slow0.2")
-    until(lambda: served.directory.calls > 1 and served.deployer.streams)
+    until(lambda: served.directory.calls and served.deployer.streams)
     open_before = served.client()
     for turn in range(2):
         open_before.send(sql("once"))
