State by unit, build, req, key or time has an end

Seen by reading, confirmed by the test: Unit.sends took every try and was only shortened for cold units; took and answered only where a build was on trial or a unit cold; tried kept the windows of every former build; units that left and keys stayed for good. Change: Instance.tidy, called by the timer, lets go of what no rule counts any more; a gone unit stays for twice the warm-up time, for late complaints. No decision changes.

--- a/laurelcourse/rules.py
+++ b/laurelcourse/rules.py
@@ -121,7 +121,7 @@
         change = (STRAIN / i.strain) ** LIMIT_FALL if i.strain > STRAIN else LIMIT_RISE
         i.usual_open += (i.open - i.usual_open) * min(beats * self.beat / LOADS_LAST, 1.0)
         i.limit = max(2.0, min(i.limit * change ** beats, 2 * i.usual_open + 10.0))
-        i.drop_loads(now - LOADS_LAST)
+        i.tidy(now, now - LOADS_LAST, now - ANSWERED_OVER * self.s.tip_after, self.s)
         self._leave_silent(now)
         self._consider_vote(now)
         self._tell(now)
@@ -182,7 +182,7 @@
             return self._give_up(now, rq)
         rq.tries.append(Try(len(rq.tries), unit, now, now - unit.since < self.s.warm_after // 2))
         self._become(rq, TRYING)
-        unit.begin(now)
+        unit.begin(now, now - self.s.tip_after - self.s.tick)
         self.i.open += 1
         if self._on_trial(unit.build):
             self._tries_at(unit.build, rq.place).add(now)
--- a/laurelcourse/state.py
+++ b/laurelcourse/state.py
@@ -3,12 +3,14 @@
 import math
 from collections import deque
 from collections.abc import Callable, Iterable
+from itertools import islice
 
 from laurelcourse.chance import Chance
 from laurelcourse.interface import FAILED, GONE, NEVER_RAN, READY, Listed
 from laurelcourse.messages import Told, Word
-from laurelcourse.settings import GROUP_CELL, GROUP_ZONE, Route
+from laurelcourse.settings import GROUP_CELL, GROUP_ZONE, Route, Settings
 
+KEYS = 1 << 16  # remembered at most, where keys stay with a build
 NEW, TRYING, ENDED = "new", "trying", "ended"
 
 
@@ -80,8 +82,8 @@
 class Unit:
     """A unit as the directory lists it, and what this relay saw of it since it started."""
 
-    __slots__ = ("aside_for", "aside_until", "build", "cell", "clean", "failed", "failing", "health", "heard",
-                 "id", "open", "pace", "seen", "sends", "sent", "since", "unanswered", "zone")
+    __slots__ = ("aside_for", "aside_until", "build", "cell", "clean", "failed", "failing", "gone", "health",
+                 "heard", "id", "open", "pace", "seen", "sends", "sent", "since", "unanswered", "zone")
 
     def __init__(self, entry: Listed) -> None:
         self.id, self.open = entry.unit, 0
@@ -96,7 +98,7 @@
             self.seen = self.failed = 0.0
             self.sends, self.sent = Window(), 0
         self.zone, self.cell, self.build, self.health = entry.zone, entry.cell, entry.build, entry.health
-        self.since = entry.since
+        self.since, self.gone = entry.since, None
 
     def apart(self, other: "Unit", group: str) -> bool:
         """Whether two units stand in different groups of those that drop each other's repeats."""
@@ -107,9 +109,11 @@
         """How many tries lately ended, and how many of them failed, here and as peers told."""
         return self.seen + self.heard[1], self.failed + self.heard[2]
 
-    def begin(self, now: int) -> None:
+    def begin(self, now: int, counted: int) -> None:
+        """A try begins; of those before it, the ones since then still count."""
         self.open += 1
         self.sent += 1
+        self.sends.since(counted)
         self.sends.add(now)
         self.unanswered = now if self.unanswered is None else self.unanswered
 
@@ -300,6 +304,24 @@
             found.append(math.exp((old.logs + new.logs) / timed) / route.objective if timed >= least else 0.0)
         return tuple(found)
 
+    def tidy(self, now: int, loads: int, answered: int, s: Settings) -> None:
+        """Lets go of what counts no more, however long the relay runs: loads and answers of before then,
+        tries and reqs outside the cap's window, units that left, the oldest keys."""
+        self.drop_loads(loads)
+        self.answered.since(answered)
+        counted = now - s.cap_window - s.tick
+        for window in self.took:
+            window.since(counted)
+        self.tried = {at: window for at, window in self.tried.items() if window.since(counted)}
+        for unit in [unit for unit in self.units.values() if unit.health == GONE and not unit.open]:
+            unit.gone = now if unit.gone is None else unit.gone
+            if now - unit.gone > 2 * s.warm_after:  # complaints come late, and a leaving may be taken back
+                del self.units[unit.id]
+                for _, told in self.loads.values():
+                    told.pop(unit.id, None)
+        if len(self.keys) > KEYS:
+            self.keys = dict(islice(self.keys.items(), KEYS // 2, None))
+
     def drop_loads(self, before: int) -> None:
         for relay in [relay for relay, (at, _) in self.loads.items() if at <= before]:
             self.hear_loads(relay, before, {})
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -71,7 +71,7 @@
             for _ in range(4 * rate // relays + (me < 4 * rate % relays)):
                 answered.add(one.now)
             while one.one._cold_room(one.now, cold):
-                cold.begin(one.now)
+                cold.begin(one.now, 0)
                 sent[second] += 1
             answered.clear()
     budget = one.one.s.overload_factor * rate / 5
@@ -319,3 +319,23 @@
     sent = one.req()[-1]
     one.end(sent, 0, face.TIMEOUT, lag, last=True)
     assert (one.one.i.units[sent[2]].aside_until > one.now) == aside
+
+
+def test_what_is_kept_by_unit_build_req_or_time_has_an_end(relay: type) -> None:
+    one = relay(keys_stay=True)
+    i = one.one.i
+    for build in range(1, 40):
+        one.list(*[(10 * build + place, "a", build + place % 2, 9) for place in range(4)])
+        one.news(build + 1, cap=1.0)
+        i.keys.update((key, build) for key in range(build * 5000, build * 5000 + 5000))
+        one.serve(50)
+        one.one.peer(one.now, 1, messages.pack_loads([(10 * build, 1, 1, 1, 1)]))
+        one.wait(10)
+    for _ in range(50):
+        one.serve(100, lag=1000)
+        one.wait(0.05)
+    assert len(i.units) <= 8 and len(i.keys) <= 1 << 16 and len(i.tried) <= 1 and not i.reqs and not i.loads
+    windows = (*i.took, *i.tried.values(), *(unit.sends for unit in i.units.values()))
+    assert sum(len(window.times) for window in windows) < 3 * 1500
+    one.wait(5)
+    assert not i.answered.times and not i.tried and not any(window.times for window in i.took)
