Room is made before clients hold a third of the descriptors, from the longest idle

At fault: limits.py made room from nine twentieths on (144 of 384), while clients can hold no more than a third (128); clients.py gave up only connections idle for over 2 s.

--- a/laurelcourse/net/clients.py
+++ b/laurelcourse/net/clients.py
@@ -84,7 +84,7 @@
             self.counters.add("clients_accepted")
             conn = Connection(self.scheduler, accepted, self.limits)
             client = Client(conn, Mailbox(self.scheduler), self.accepted_at)
-            if len(self.open) >= self.limits.clients:
+            if len(self.open) >= self.limits.roomy:
                 self._make_room()
             self.open.add(client)
             self.silent[client] = client.accepted
@@ -113,8 +113,9 @@
         """Closes the connection that can best be spared; whether there was one. None that has an open req
         goes, nor one with something to read: its req may just have come."""
         now, limits = self.scheduler.now(), self.limits
-        for waiting, rest in ((self.faulty, 0), (self.silent, limits.pause_first), (self.idle, limits.spare),
-                              (self.partial, limits.spare)):
+        for waiting, rest in (
+                (self.faulty, 0), (self.silent, 4 * limits.spare_least), (self.idle, limits.spare),
+                (self.partial, limits.spare), (self.idle, limits.spare_least)):
             for client, since in waiting.items():
                 if since + rest > now:
                     break
--- a/laurelcourse/net/limits.py
+++ b/laurelcourse/net/limits.py
@@ -9,7 +9,8 @@
 
 class Limits(NamedTuple):
     clients: int              # open client connections that are served
-    crowd: int                # and those beyond, which are told so
+    roomy: int                # and from how many on those that can be spared give way to new ones
+    crowd: int                # those beyond the first, which are told so
     upstream: int             # open connections to units
     backlog: int
     accepts: int              # accepted, or datagrams read, in one turn
@@ -23,6 +24,7 @@
     patience: int             # for another's part in a write
     begin: int                # from accepting to the first req, and from a message's first byte to its last
     spare: int                # a client between reqs for so long gives way when room is short
+    spare_least: int          # and for so long, rather than that another is told there is no room
     faults: int               # on end, and the connection closes
     penance: int              # before the answer to a fault that was repeated, or that ends the connection
     unfinished: int           # bytes of clients' unfinished messages, all together
@@ -47,19 +49,22 @@
 
 def limits(tree: Tree) -> Limits:
     """Shares the descriptors out: an eighth and 16 in reserve; of the rest as many for units as for clients,
-    so that no req taken lacks a connection, and a tenth for clients that are told there is no room. A message
-    holds a value of 64 KiB in hexadecimal digits and the statement round it, at every size of memory."""
+    so that no req taken lacks a connection, and a tenth for clients that are told there is no room. Clients
+    hold at most a third of all descriptors for reqs: room is made a little before that. A message holds a
+    value of 64 KiB in hexadecimal digits and the statement round it, at every size of memory."""
     sockets, memory = tree.whole("limits.sockets"), tree.whole("limits.memory_mb") << 20
     shared = max(sockets - sockets // 8 - 16, 8)
     message = 136 << 10
     idle = tree.micros("settings.limits.conn_idle")
     return Limits(
-        clients=shared * 9 // 20, crowd=shared // 10, upstream=shared * 9 // 20,
+        clients=shared * 9 // 20, roomy=min(sockets // 3 - sockets // 32, shared * 2 // 5),
+        crowd=shared // 10, upstream=shared * 9 // 20,
         backlog=min(sockets, 1024), accepts=128,
         buffer_usual=1 << 12, buffer_most=message + (1 << 12), message=message,
         body=max(memory >> 6, 1 << 18), datagram=256,
         connect=tree.micros("settings.limits.connect_timeout"), idle=idle - min(idle // 10, SECOND),
-        patience=5 * SECOND, begin=23 * SECOND // 10, spare=21 * SECOND // 10, faults=4, penance=SECOND // 2,
+        patience=5 * SECOND, begin=23 * SECOND // 10, spare=21 * SECOND // 10,
+        spare_least=SECOND // 20, faults=4, penance=SECOND // 2,
         unfinished=max(memory >> 4, 2 * message), drained=1 << 18,
         part=SECOND // 2, settle=SECOND // 20, wary=SECOND // 500, fresh=3,
         rest_few=3.0, rest_margin=0.04, rest_fade=0.98, rest_forget=0.7,
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -3,6 +3,7 @@
 import contextlib
 import json
 import re
+import select
 import signal
 import socket
 import struct
@@ -360,8 +361,12 @@
     crowd = [served.client() for _ in range((60 - 60 // 8 - 16) * 9 // 20)]
     for one in crowd:
         assert one.ask(sql())[:2] == COMPLETED
-    until(lambda: served.client().ask(sql())[:2] == COMPLETED, 4)
+    for turn in range(40):  # more in two seconds than there is room for, and fewer than a third are held
+        time.sleep(0.02 if turn else 0.1)
+        crowd.append(served.client())
+        assert crowd[-1].ask(sql())[:2] == COMPLETED
     assert crowd[0].answer() == ("", "", b"") and crowd[-1].ask(sql())[:2] == COMPLETED
+    assert len(select.select([one.sock for one in crowd[1:]], [], [], 0)[0]) >= len(crowd) - 60 // 3
 
 
 def test_silent_connections_give_way_at_once(serve: Callable[..., Served]) -> None:
