Answers up to a 64th of the memory pass, and slow ones as long as they go on

Probes: the shed limit stood far above the open tries; three tries on end had ended as resets; 3,209 of 3,300 resets at one relay were values of 154 to 400 KB refused from their head, the rest answers that paused. Ruled out: strain and the shed limit, broken connections, spoilt framing. At fault: units.py held a unit's value to the limit of a client's message (136 KiB), and counted half a second from an answer's first byte instead of from its last progress.

--- a/laurelcourse/net/connection.py
+++ b/laurelcourse/net/connection.py
@@ -43,10 +43,10 @@
 
 
 class Connection:
-    def __init__(self, scheduler: Scheduler, sock: socket.socket, limits: Limits) -> None:
+    def __init__(self, scheduler: Scheduler, sock: socket.socket, limits: Limits, most: int = 0) -> None:
         self.scheduler, self.sock, self.limits = scheduler, sock, limits
         self.fd = sock.fileno()
-        self.buffer = Buffer(limits.buffer_usual, limits.buffer_most)
+        self.buffer = Buffer(limits.buffer_usual, most or limits.buffer_most)
         self.open = True
         sock.setblocking(False)
 
@@ -57,7 +57,7 @@
             sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         except OSError:
             return None
-        conn = cls(scheduler, sock, limits)
+        conn = cls(scheduler, sock, limits, limits.value + limits.buffer_usual)
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             failed = sock.connect_ex(address)
--- a/laurelcourse/net/limits.py
+++ b/laurelcourse/net/limits.py
@@ -17,6 +17,7 @@
     buffer_usual: int
     buffer_most: int
     message: int              # the longest message taken from a client
+    value: int                # and from a unit
     body: int                 # the longest HTTP body
     datagram: int
     connect: int              # until a connection to a unit is up
@@ -29,7 +30,7 @@
     penance: int              # before the answer to a fault that was repeated, or that ends the connection
     unfinished: int           # bytes of clients' unfinished messages, all together
     drained: int              # bytes passed over while a connection closes
-    part: int                 # from the first byte of another's answer to its next message, or its end
+    part: int                 # another's answer that has begun goes on within this
     settle: int               # a connection to a unit rests so long: what comes unasked shows by then
     wary: int                 # between a query's last byte and those before it, while connections break
     fresh: int                # connections for one try, all but the last found dead before its last byte
@@ -61,7 +62,7 @@
         crowd=shared // 10, upstream=shared * 9 // 20,
         backlog=min(sockets, 1024), accepts=128,
         buffer_usual=1 << 12, buffer_most=message + (1 << 12), message=message,
-        body=max(memory >> 6, 1 << 18), datagram=256,
+        value=max(memory >> 6, message), body=max(memory >> 6, 1 << 18), datagram=256,
         connect=tree.micros("settings.limits.connect_timeout"), idle=idle - min(idle // 10, SECOND),
         patience=5 * SECOND, begin=23 * SECOND // 10, spare=21 * SECOND // 10,
         spare_least=SECOND // 20, faults=4, penance=SECOND // 2,
--- a/laurelcourse/net/units.py
+++ b/laurelcourse/net/units.py
@@ -172,20 +172,19 @@
 
     def _message(self, conn: Connection, until: int, box: Mailbox, begun: bool = False) -> bytes | str:
         """The unit's next message, or how the wait for it ended; an answer that has begun goes on soon."""
-        buffer, due = conn.buffer, None
+        buffer = conn.buffer
         while True:
             try:
-                found = postgres.frame_of_unit(buffer.data, buffer.start, buffer.end, self.limits.message)
+                found = postgres.frame_of_unit(buffer.data, buffer.start, buffer.end, self.limits.value)
             except ProtocolError as error:
                 return self._nonsense(error)
             if found:
                 raw = bytes(buffer.data[buffer.start:found.end])
                 buffer.start = found.end
                 return raw
-            if due is None and (begun or buffer):
-                due = self.scheduler.now() + self.limits.part
-            reason = conn.read(min(until, due or until), box)
-            if reason == LATE and due and due < until:
+            due = self.scheduler.now() + self.limits.part if begun or buffer else until
+            reason = conn.read(min(until, due), box)
+            if reason == LATE and due < until:
                 return self._nonsense("an answer that does not go on")
             if reason != GOT:
                 return {MAIL: face.CANCELLED, LATE: face.TIMEOUT}.get(reason, face.RESET)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -190,7 +190,9 @@
 
 
 LARGE = bytes(range(256)) * 256
+LARGER = LARGE * 6
 UNIT_ANSWERS = {
+    "larger": TOLD + pg(b"D", struct.pack("!HI", 1, len(LARGER)) + LARGER) + pg(b"C", b"SELECT 1\0") + IDLE,
     "large": ROW.replace(b"\0\0\0\x0c\0\1\0\0\0\2\x9f\x03", struct.pack(
         "!IHI", len(LARGE) + 10, 1, len(LARGE)) + LARGE) + IDLE,
     "ok": ROW + IDLE, "busy": failure("53300") + IDLE, "failed": failure("XX000") + IDLE,
@@ -223,8 +225,12 @@
                 return reset(conn)
             if self.mode.startswith("slow"):
                 time.sleep(float(self.mode[4:]))
-            if self.mode != "silent":
+            if self.mode not in ("silent", "drip"):
                 conn.sendall(UNIT_ANSWERS.get(self.mode, ROW + IDLE))
+            if self.mode == "drip":
+                for place in range(0, len(ROW + IDLE), 20):
+                    time.sleep(0.15)
+                    conn.sendall((ROW + IDLE)[place:place + 20])
             if self.mode == "late":
                 time.sleep(0.005)
                 conn.sendall(ROW.replace(b"\x9f\x03", b"\x66\x66") + IDLE)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -18,6 +18,7 @@
     HELLO,
     IDLE,
     LARGE,
+    LARGER,
     OUTSIDE,
     RELAY,
     ROOT,
@@ -87,6 +88,13 @@
     assert served.count("tries.ok") == 10 and len(served.units[0].conns) >= 5
 
 
+@pytest.mark.parametrize("mode, value", [("drip", b"\x9f\x03"), ("larger", LARGER)], ids=["drip", "larger"])
+def test_slow_and_large_answers_are_whole_answers(
+        serve: Callable[..., Served], mode: str, value: bytes) -> None:
+    letters, code, row = serve(modes=mode, memory=32).client().ask(sql("once", 3000))
+    assert (letters, code) == COMPLETED and row[6:] == value
+
+
 def test_connections_that_break_when_kept_are_not_kept_for_long(serve: Callable[..., Served]) -> None:
     served = serve(units=1, modes="stale")
     client, ends = served.client(), []
