A beat is no shorter than a twentieth of the objective, whatever the tick

The shed limit moved five times as fast as at a tick of 5 ms. At fault: rules.py, self.beat = BEATS * settings.tick, on which the telling pace, `few` and the limit's pace hang; _tell, which told units by number and let the message cut the rest off. Change: a beat is at least a twentieth of the shortest objective; loads name the units with most open tries first. At ticks of 5 ms and objectives up to 1 s nothing moves.

--- a/laurelcourse/rules.py
+++ b/laurelcourse/rules.py
@@ -27,7 +27,8 @@
 PRIORS = {FAILING: 0.5, SLOW: 0.25, WRONG: 0.25}
 FAIL_FLOOR, FALSE_COMPLAINTS, FAIL_ALL, FAIL_ROUTE, WRONG_SHARE = 0.01, 0.005, 0.15, 0.5, 0.1
 SLOWER, SPREAD_FLOOR, SPREAD_CLIP = math.log(2.5), 0.5, 1.5
-BASE_ENOUGH, BASE_MOST, ENOUGH, BASE_HALVES, BEATS, TELL_BEATS, IDLE_BEATS = 8, 128, 12, 4_000_000, 10, 5, 10
+BASE_ENOUGH, BASE_MOST, ENOUGH, BASE_HALVES, TELL_BEATS, IDLE_BEATS = 8, 128, 12, 4_000_000, 5, 10
+BEATS, OBJECTIVE_BEATS = 10, 20  # a beat is so many ticks, but no shorter than such a part of an objective
 UNLIKE_NOISE, UNLIKE_FLOOR, SOUND_SEEN, SOUND_FELLOWS, SAME_AGE = 0.05, 0.12, 30, 0.3, 1_000_000
 RUN_BEFORE_ON, MOST_POOL, POOL_SPARE, WORD_LASTS, AGREED = 3_250_000, 2, 2, 4, 2
 # routing, health and shedding; shares are of the latency objective
@@ -46,7 +47,8 @@
         self.top = max(route.earnings for route in settings.routes)
         self.places = {route.name: place for place, route in enumerate(settings.routes)}
         self.scopes = [place if settings.cap_by_route else 0 for place in range(len(settings.routes))]
-        self.beat = BEATS * settings.tick
+        shortest = min(route.objective for route in settings.routes)
+        self.beat = max(BEATS * settings.tick, shortest // OBJECTIVE_BEATS)
         self.members = self._members()
         self.kinds, self.priors = {one[0]: 0.0 for one in self.members}, [one[-1] for one in self.members]
         self.first = [math.log(1 - SUSPECT), *(math.log(SUSPECT * prior) for prior in self.priors)]
@@ -502,7 +504,8 @@
         i, case, s = self.i, self.i.case, self.s
         i.told += 1
         if s.may_tell and self.few and i.told % s.relays == 0:
-            loads = [(unit.id, unit.open, unit.seen, unit.failed, unit.clean) for unit in i.ready]
+            busiest = sorted(i.ready, key=lambda unit: -unit.open)  # a message may not hold them all
+            loads = [(unit.id, unit.open, unit.seen, unit.failed, unit.clean) for unit in busiest]
             self.out.append((face.TELL, "all", messages.pack_loads(loads)))
         if case is None or now < i.tell_at or not s.may_tell:
             return
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -339,3 +339,26 @@
     assert sum(len(window.times) for window in windows) < 3 * 1500
     one.wait(5)
     assert not i.answered.times and not i.tried and not any(window.times for window in i.took)
+
+
+@pytest.mark.parametrize("relays", [3, 40])
+def test_a_finer_tick_makes_neither_more_messages_nor_a_quicker_shed_limit(relay: type, relays: int) -> None:
+    told, limits = [], []
+    for tick in (1000, 5000):
+        one = relay(relays=relays, tick=tick)
+        one.list(*[(unit, "a", 5, 90) for unit in range(60)])
+        one.req("once")
+        one.one.i.strain = 1.0
+        told.append(sum(len(found[2]) for found in one.wait(0.5) if found[0] == face.TELL))
+        limits.append(one.one.i.limit)
+    assert told[0] == told[1] and limits[0] == pytest.approx(limits[1], rel=0.01)
+
+
+def test_units_with_open_tries_come_first_where_a_message_holds_not_all(relay: type) -> None:
+    one = relay()
+    one.list(*[(unit, "a", 5, 90) for unit in range(60)])
+    for unit in (40, 59):
+        one.one.i.units[unit].begin(one.now, 0)
+    told = [messages.unpack(found[2], 3) for found in one.wait(1) if found[0] == face.TELL]
+    told = [loads for what, loads in told if what == messages.LOADS]
+    assert told and all(loads[40][0] == loads[59][0] == 1 for loads in told)
