Two relays' doubts of a unit set it aside at every relay of their site

Need: with 200 relays and 110 units a relay meets a unit every few seconds. A silent unit is known to it only by a time-out of its own, after the objective; the rule that one open try proves nothing (20 relays and more) is right for one relay and wrong for all of them together. Change: a try unheard of for half its objective and four usual latencies, or a unit set aside, is a doubt; it is told to all in 7 bytes. Doubts of two relays of one's own site within the fall time set the unit aside, a third of all units at most, none on trial. A site that is cut off accuses to itself alone.

--- a/laurelcourse/messages.py
+++ b/laurelcourse/messages.py
@@ -3,14 +3,17 @@
 import math
 import struct
 from typing import NamedTuple
+from zlib import crc32
 
-VERSION, SUMS, LOADS, WORD = 2, 1, 2, 3
+VERSION, SUMS, LOADS, WORD, DOUBTS = 2, 1, 2, 3, 4
 MOST = 256
 HEAD = struct.Struct("<BBIIHH")
 ROW = struct.Struct("<BIIIfIIIff")
 LOAD = struct.Struct("<IBBBB")
+UNIT = struct.Struct("<I")
 OPINION = struct.Struct("<BBIIHH")
 ROWS, LARGEST, COUNTED = (MOST - HEAD.size) // ROW.size, 255, 65535
+DOUBTED = (MOST - 3) // UNIT.size
 
 
 class Told(NamedTuple):
@@ -37,6 +40,13 @@
     usual: tuple[float, ...]
 
 
+class Doubts(NamedTuple):
+    """Units that a relay doubts, and the site that it stands at."""
+
+    site: int
+    units: list[int]
+
+
 def byte(value: float) -> int:
     return min(max(round(value), 0), LARGEST)
 
@@ -47,6 +57,16 @@
     return bytes((VERSION, LOADS)) + b"".join(packed)
 
 
+def site(zone: str) -> int:
+    """A zone's name as one byte."""
+    return crc32(zone.encode()) % (LARGEST + 1)
+
+
+def pack_doubts(where: int, units: list[int]) -> bytes:
+    """Units that a relay of a site doubts; those beyond the first go with a later message."""
+    return bytes((VERSION, DOUBTS, where)) + b"".join(UNIT.pack(unit) for unit in units[:DOUBTED])
+
+
 def pack_sums(epoch: int, number: int, build: int, complained: int, rows: list) -> list[bytes]:
     """As many messages as the rows need; a row begins with its route's place."""
     head = HEAD.pack(VERSION, SUMS, epoch, number, build, complained)
@@ -62,12 +82,14 @@
     return head + bytes(parts + usual)
 
 
-def unpack(payload: bytes, routes: int) -> tuple[int, Told | Word | dict[int, list[int]]] | None:
+def unpack(payload: bytes, routes: int) -> tuple[int, Told | Word | Doubts | dict[int, list[int]]] | None:
     if len(payload) < 2 or payload[0] != VERSION:
         return None
     what, size = payload[1], len(payload)
     if what == LOADS and (size - 2) % LOAD.size == 0:
         return what, {unit: counts for unit, *counts in LOAD.iter_unpack(payload[2:])}
+    if what == DOUBTS and size > 3 and (size - 3) % UNIT.size == 0:
+        return what, Doubts(payload[2], [unit for unit, in UNIT.iter_unpack(payload[3:])])
     if what == SUMS and size >= HEAD.size and (size - HEAD.size) % ROW.size == 0:
         rows = {place: row for place, *row in ROW.iter_unpack(payload[HEAD.size:])}
         if all(place < routes and all(map(math.isfinite, row)) for place, row in rows.items()):
--- a/laurelcourse/rules.py
+++ b/laurelcourse/rules.py
@@ -53,6 +53,7 @@
         self.kinds, self.priors = {one[0]: 0.0 for one in self.members}, [one[-1] for one in self.members]
         self.first = [math.log(1 - SUSPECT), *(math.log(SUSPECT * prior) for prior in self.priors)]
         self.few = settings.relays * self.beat < LOADS_LAST
+        self.site = messages.site(settings.zone)
         self.tell_every = max(TELL_BEATS * self.beat, settings.relays * settings.tick // 2)
         self.i.tell_at = now + self.i.chance.below(self.tell_every)
 
@@ -150,6 +151,9 @@
             for unit in [i.units[name] for name in told if name in before]:
                 if told[unit.id][3] >= GOOD_ON_END and told[unit.id][3] != before[unit.id][3]:
                     unit.aside_until = min(unit.aside_until, now)
+        elif what == messages.DOUBTS and not self.few and told.site == self.site:
+            for unit in [i.units[name] for name in told.units if name in i.units]:
+                self._doubt(now, unit, relay)
         return self.results()
 
     def stage(self, now: int, build: int, stage: int, standing: int, answers_vote: bool, status: str,
@@ -321,10 +325,13 @@
 
     def _leave_silent(self, now: int) -> None:
         """A silent unit's reqs are tried elsewhere while they can be in time; a long req alone runs on."""
-        for rq in [rq for rq in self.i.reqs.values() if rq.route.repeat != known.NON_RETRIABLE and rq.tries]:
+        for rq in [rq for rq in self.i.reqs.values() if rq.tries]:
             late = rq.tries[-1]
-            if (late.out and late.number + 1 < self.s.max_tries and self._aside(now, rq, late.unit)
-                    and now - late.sent > SILENT_AFTER * rq.route.objective):
+            if late.out and self.i.strain < STRAIN and self._unheard(now, rq, late.unit):
+                self._doubt(now, late.unit, self.s.me)
+            may = late.out and late.number + 1 < self.s.max_tries and rq.route.repeat != known.NON_RETRIABLE
+            long = now - late.sent > SILENT_AFTER * rq.route.objective
+            if may and long and self._aside(now, rq, late.unit):
                 self._set_aside(now, late.unit)
                 self.out.append((face.CANCEL, rq.id, late.number))
 
@@ -333,8 +340,25 @@
         # try can't tell it from a slow answer; on trial only a longer wait tells it from a slow build.
         if unit.aside_until > now or unit.unanswered is None or not (self.few or unit.open > 1):
             return unit.aside_until > now
+        return self._unheard(now, rq, unit)
+
+    def _unheard(self, now: int, rq: Req, unit: Unit) -> bool:
         most = max(rq.route.objective / 2, 4 * self.i.typical[rq.place])
-        return now - unit.unanswered > most * (2 if self._on_trial(unit.build) else 1)
+        return unit.unanswered is not None and (
+            now - unit.unanswered > most * (2 if self._on_trial(unit.build) else 1))
+
+    def _doubt(self, now: int, unit: Unit, relay: int) -> None:
+        """One relay's doubt is told to all and proves nothing; two of a site at once set a unit aside. For
+        relays that meet a unit too seldom to know it; a site that is cut off accuses to itself alone."""
+        again = relay == self.s.me and now - unit.doubts.get(relay, 0) < self.s.tip_after
+        if self.few or again or self._on_trial(unit.build):
+            return
+        unit.doubts = {one: at for one, at in unit.doubts.items() if now - at < self.s.tip_after}
+        unit.doubts[relay] = now
+        if relay == self.s.me:
+            self.i.doubted.append(unit.id)
+        if len(unit.doubts) >= AGREED:
+            self._set_aside(now, unit)
 
     def _learn(self, now: int, rq: Req, done: Try, status: str, lag: int) -> None:
         i, unit, good = self.i, done.unit, status == face.OK
@@ -369,6 +393,7 @@
         elif status in (face.UNREACHED, face.TIMEOUT) or (unit.failing > ASIDE_FAILING and blamed):
             # Errors of a build on trial are the judge's to weigh: setting its machines aside would starve it.
             self._set_aside(now, unit)
+            self._doubt(now, unit, self.s.me)
 
     def _set_aside(self, now: int, unit: Unit) -> None:
         resting = sum(one.aside_until > now for one in self.i.ready)
@@ -503,6 +528,9 @@
     def _tell(self, now: int) -> None:
         i, case, s = self.i, self.i.case, self.s
         i.told += 1
+        if s.may_tell and i.doubted:
+            self.out.append((face.TELL, "all", messages.pack_doubts(self.site, i.doubted)))
+            i.doubted = i.doubted[messages.DOUBTED:]
         if s.may_tell and self.few and i.told % s.relays == 0:
             busiest = sorted(i.ready, key=lambda unit: -unit.open)  # a message may not hold them all
             loads = [(unit.id, unit.open, unit.seen, unit.failed, unit.clean) for unit in busiest]
--- a/laurelcourse/state.py
+++ b/laurelcourse/state.py
@@ -82,8 +82,9 @@
 class Unit:
     """A unit as the directory lists it, and what this relay saw of it since it started."""
 
-    __slots__ = ("aside_for", "aside_until", "build", "cell", "clean", "failed", "failing", "gone", "health",
-                 "heard", "id", "open", "pace", "seen", "sends", "sent", "since", "unanswered", "zone")
+    __slots__ = ("aside_for", "aside_until", "build", "cell", "clean", "doubts", "failed", "failing", "gone",
+                 "health", "heard", "id", "open", "pace", "seen", "sends", "sent", "since", "unanswered",
+                 "zone")
 
     def __init__(self, entry: Listed) -> None:
         self.id, self.open = entry.unit, 0
@@ -97,6 +98,7 @@
             self.aside_until = self.aside_for = self.clean = 0
             self.seen = self.failed = 0.0
             self.sends, self.sent = Window(), 0
+            self.doubts: dict[int, int] = {}  # by relay, when
         self.zone, self.cell, self.build, self.health = entry.zone, entry.cell, entry.build, entry.health
         self.since, self.gone = entry.since, None
 
@@ -258,6 +260,7 @@
         self.vote = Vote()
         self.ask_at = self.ask_pause = 0
         self.told = self.tell_at = 0
+        self.doubted: list[int] = []
         self.beat_at = now
         self.crossing = 0.0
         self.grouped = False
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -362,3 +362,45 @@
     told = [messages.unpack(found[2], 3) for found in one.wait(1) if found[0] == face.TELL]
     told = [loads for what, loads in told if what == messages.LOADS]
     assert told and all(loads[40][0] == loads[59][0] == 1 for loads in told)
+
+
+@pytest.mark.parametrize("tellers, site, age, standing, aside", [
+    ((5,), "a", 0, 2, True), ((), "a", 0, 2, False), ((5,), "b", 0, 2, False), ((5,), "a", 2, 2, False),
+    ((0,), "a", 0, 2, False), ((999,), "a", 0, 2, False), ((5, 6), "a", 0, 0, False)])
+def test_a_unit_is_left_on_the_doubts_of_two_relays_of_a_site(
+        relay: type, tellers: tuple, site: str, age: int, standing: int, aside: bool) -> None:
+    one = relay(relays=300)
+    one.one.i.typical = [SECOND // 10] * 3
+    one.list(*WARM[:3], (4, "a", 5, 90))
+    one.news(5, standing=standing, cap=1.0)
+    word = messages.pack_doubts(messages.site(site), [1, 4, 12345])
+    for teller in tellers if age else ():
+        one.one.peer(one.now, teller, word)
+    one.now += age * SECOND
+    while one.req("read", 3 * SECOND)[-1][2] != 4:
+        pass
+    own = one.wait(0.6)
+    told = [messages.unpack(found[2], 3)[1] for found in own if found[0] == face.TELL and found[1] == "all"]
+    assert sum(4 in doubts.units for doubts in told if isinstance(doubts, messages.Doubts)) == (standing > 0)
+    for teller in () if age else tellers:
+        one.one.peer(one.now, teller, word)
+    left = [found[1] for found in one.wait(0.05) if found[0] == face.CANCEL]
+    assert (one.one.i.units[4].aside_until > one.now) == aside == (f"r{one.made}" in left)
+    one.list(*WARM[:3], (4, "a", 5, 1))
+    assert not one.one.i.units[4].doubts
+
+
+@pytest.mark.parametrize("relays, told", [(3, 0), (300, 1)])
+def test_doubts_are_told_where_open_tries_are_not_and_rest_a_third_at_most(
+        relay: type, relays: int, told: int) -> None:
+    one = relay(relays=relays)
+    one.one.i.typical = [SECOND // 10] * 3
+    one.list(*[(unit, "a", 5, 90) for unit in range(9)])
+    for _ in range(30):
+        one.req("once", 3 * SECOND)
+    found = [messages.unpack(found[2], 3)[0] for found in one.wait(0.7) if found[0] == face.TELL]
+    assert found.count(messages.DOUBTS) == told
+    for _ in range(2):
+        one.one.peer(one.now, 1, messages.pack_doubts(messages.site("a"), list(range(9))))
+    resting = sum(unit.aside_until > one.now for unit in one.one.i.ready)
+    assert resting == 3 * told
