A statement that units call faulty tells of its client, not of unit or build

Checked by logging each failed try: 870 XX000 from pauses and the bad build, and 643 times 42601, in bursts of 40 to 60 every two seconds, each answered within 0.6 ms: statements of bad clients, which units reject as a syntax error. Ruled out: the build (errors of good clients in that second: none), spoilt answers (110, all counted as reset). At fault: exchange.py, status(): any code but 53300 was a failure of the unit; rules.py, outcome(): after a release no earlier build is left to tell a poisoned req by, so each burst counted against the build and set units aside. Change: codes of the classes by which PostgreSQL blames the statement (0A, 22, 42) end a try as at_fault. It moves neither unit nor judge and ends its req as errored, with one exception: at a build on trial the req goes to the earlier build, and if that serves it, the try counts as failed there.

--- a/laurelcourse/fronts/postgres/exchange.py
+++ b/laurelcourse/fronts/postgres/exchange.py
@@ -45,7 +45,9 @@
     def status(self, answer: Answer, ended: str) -> str:
         # A code counts once nothing can follow it: a spoilt 53300 must not pass for a try that never ran.
         if answer.code and (answer.ready or (answer.fatal and ended == face.RESET)):
-            return face.BUSY if answer.code == wire.TURNED_AWAY else face.FAILED
+            if answer.code == wire.TURNED_AWAY:
+                return face.BUSY
+            return face.AT_FAULT if answer.code.startswith(wire.BLAMES_STATEMENT) else face.FAILED
         return face.OK if answer.whole() else ended
 
     def answered(self, conn: Connection, until: int, answer: Answer, box: Mailbox) -> str:
--- a/laurelcourse/fronts/postgres/wire.py
+++ b/laurelcourse/fronts/postgres/wire.py
@@ -9,6 +9,9 @@
 
 SYNTAX, BAD_VALUE, OUT_OF_RANGE, VIOLATION = "42601", "22023", "22003", "08P01"
 TOO_LONG, UNSUPPORTED, TURNED_AWAY, STARTING, SYSTEM = "54000", "0A000", "53300", "57P03", "58000"
+# Classes of codes by which a server blames the statement: feature not supported, data exception, syntax error
+# or access rule violation (PostgreSQL 15 documentation, appendix A).
+BLAMES_STATEMENT = ("0A", "22", "42")
 EXTENDED = frozenset(b"PBDECH")
 LONGEST_WAIT_MS = 3_600_000
 
--- a/laurelcourse/interface.py
+++ b/laurelcourse/interface.py
@@ -22,6 +22,7 @@
 
 # how an upstream try or a probe ended
 OK, FAILED, BUSY, TIMEOUT = "ok", "failed", "busy", "timeout"
+AT_FAULT = "at_fault"  # the unit says that the req itself can't be served
 UNREACHED, RESET, CANCELLED, UNSENT = "unreached", "reset", "cancelled", "unsent"
 NEVER_RAN = frozenset((BUSY, UNREACHED, UNSENT))
 
--- a/laurelcourse/rules.py
+++ b/laurelcourse/rules.py
@@ -81,13 +81,16 @@
         self._learn(now, rq, done, status, lag)
         if last or rq.state == ENDED:
             self._become(rq, ENDED)
+        elif status == face.AT_FAULT and not self._on_trial(done.build) and not rq.out():
+            self.out.append((face.ERROR, rq.id))
+            self._become(rq, ENDED)
         elif not rq.out():
             # Further tries are a bounded share of the reqs, lest they feed an overload.
             self.i.retries -= (may := self.i.retries >= 1)
             self._try_or_end(now, rq, may)
         if rq.owed and (done is not rq.owed or rq.state == ENDED):
             # A req that fails on both builds tells against itself, not against the build on trial.
-            if all(one.build == rq.owed.build or not one.failed for one in rq.tries):
+            if rq.blames(rq.owed):
                 self._count(rq, rq.owed, face.FAILED, 0)
             rq.owed = None
         return self.results()
@@ -366,6 +369,10 @@
             unit.unanswered = now if unit.open else None
         if done.build != unit.build or status == face.UNSENT:
             return
+        if status == face.AT_FAULT:
+            # It tells of the client alone, unless an earlier build serves what one on trial calls at fault.
+            rq.owed = done if self._on_trial(done.build) else rq.owed
+            return
         if self.s.crossing_price and status in (face.OK, face.TIMEOUT, face.CANCELLED):
             late = lag > FAR_AFTER * rq.route.objective
             change = late - FAR_DUE if unit.zone == self.s.zone else -2 * late
--- a/laurelcourse/standins/postgres.py
+++ b/laurelcourse/standins/postgres.py
@@ -38,6 +38,7 @@
     "large": ROW.replace(b"\0\0\0\x0c\0\1\0\0\0\2\x9f\x03", struct.pack(
         "!IHI", len(LARGE) + 10, 1, len(LARGE)) + LARGE) + IDLE,
     "ok": ROW + IDLE, "busy": failure("53300") + IDLE, "failed": failure("XX000") + IDLE,
+    "syntax": failure("42601") + IDLE,
     "nonsense": b"HTTP/1.1 400 Bad\r\n\r\n", "twice": ROW + ROW + IDLE, "unready": ROW, "torn": ROW[:-3],
     "half": ROW[:-20], "huge": TOLD + b"D\xb3\0\0\0\0\1\xb3", "false": failure("53300"),
     "more": ROW + IDLE + ROW, "noise": ROW + IDLE + b"\0\xff",
--- a/laurelcourse/state.py
+++ b/laurelcourse/state.py
@@ -6,7 +6,7 @@
 from itertools import islice
 
 from laurelcourse.chance import Chance
-from laurelcourse.interface import FAILED, GONE, NEVER_RAN, READY, Listed
+from laurelcourse.interface import AT_FAULT, FAILED, GONE, NEVER_RAN, OK, READY, Listed
 from laurelcourse.messages import Told, Word
 from laurelcourse.settings import GROUP_CELL, GROUP_ZONE, Route, Settings
 
@@ -30,15 +30,15 @@
 
 
 class Try:
-    __slots__ = ("build", "failed", "fresh", "may_have_run", "number", "out", "sent", "unit")
+    __slots__ = ("build", "fresh", "may_have_run", "number", "out", "sent", "status", "unit")
 
     def __init__(self, number: int, unit: "Unit", sent: int, fresh: bool) -> None:
         self.number, self.unit, self.build, self.sent, self.fresh = number, unit, unit.build, sent, fresh
         self.out = self.may_have_run = True
-        self.failed = False
+        self.status = ""
 
     def end(self, status: str) -> None:
-        self.out, self.may_have_run, self.failed = False, status not in NEVER_RAN, status == FAILED
+        self.out, self.may_have_run, self.status = False, status not in NEVER_RAN, status
         self.unit.open -= 1
 
 
@@ -57,6 +57,12 @@
     def tried(self, unit: "Unit") -> bool:
         return any(one.unit is unit for one in self.tries)
 
+    def blames(self, one: Try) -> bool:
+        """Whether a failed try tells against its build: no other build failed the req too; where the unit
+        blamed the req, another build served it."""
+        others = [other.status for other in self.tries if other.build != one.build]
+        return OK in others if one.status == AT_FAULT else not {FAILED, AT_FAULT}.intersection(others)
+
     def ran(self) -> list[Try]:
         return [one for one in self.tries if one.may_have_run]
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -404,3 +404,24 @@
         one.one.peer(one.now, 1, messages.pack_doubts(messages.site("a"), list(range(9))))
     resting = sum(unit.aside_until > one.now for unit in one.one.i.ready)
     assert resting == 3 * told
+
+
+@pytest.mark.parametrize("standing, second, ends, counted", [
+    (2, None, face.ERROR, 0), (0, face.AT_FAULT, face.ERROR, 0), (0, face.OK, None, 1),
+    (0, face.FAILED, None, 0)])
+def test_a_req_that_units_call_at_fault_tells_of_its_client(
+        relay: type, standing: int, second: str | None, ends: str | None, counted: int) -> None:
+    one = relay(cap_free=1000)
+    one.list(*WARM[:2 if second else 0], *((unit, "a", 6, 90) for unit in (7, 8, 9)))
+    one.news(6, standing=standing, cap=1.0)
+    sent = (None, None, 0)
+    while sent[2] < 7:
+        sent = one.req("mark" if standing else "read")[-1]
+    failed = one.one.i.case.counted, one.one.i.units[sent[2]].failing
+    results = one.end(sent, 0, face.AT_FAULT)
+    if second:
+        assert verbs(results) == [face.SEND] and results[-1][2] < 7
+        results = one.end(results[-1], 1, second)
+    assert ([found[0] for found in results if found[0] == face.ERROR] == ([ends] if ends else []))
+    assert (one.one.i.case.counted, one.one.i.units[sent[2]].failing) == (failed[0] + counted, failed[1])
+    assert one.one.i.units[sent[2]].aside_until <= one.now
