Errors are doubts, and those of a machine that others doubt count once for the judge

Checked by logging each failed try: 18 machines fail fast from 10 to 23 s, nine of either build (XX000, 814 of 870 within 20 ms). While the earlier build's ran, its sick machines excused the new one's. Once they drained nothing did, and machines on trial are never rested for errors, so every relay met the nine anew: 8% of outcomes in that second. At fault: rules.py, _machine_to_blame: a relay at 4 reqs a second never sees the 30 answers of a fellow that would excuse a machine, and looked for sick earlier machines among the ready alone; _learn: an error told other relays nothing. Change: an error is a doubt like silence, so two relays' errors rest a released machine at all relays of a site. An error at a machine that another relay doubts counts for the judge only once more than a third of its build's machines are doubted: a bad build keeps two thirds of its evidence at least. Earlier machines' errors excuse after they drain too.

--- a/laurelcourse/rules.py
+++ b/laurelcourse/rules.py
@@ -354,13 +354,13 @@
         """One relay's doubt is told to all and proves nothing; two of a site at once set a unit aside. For
         relays that meet a unit too seldom to know it; a site that is cut off accuses to itself alone."""
         again = relay == self.s.me and now - unit.doubts.get(relay, 0) < self.s.tip_after
-        if self.few or again or self._on_trial(unit.build):
+        if self.few or again:
             return
         unit.doubts = {one: at for one, at in unit.doubts.items() if now - at < self.s.tip_after}
         unit.doubts[relay] = now
         if relay == self.s.me:
             self.i.doubted.append(unit.id)
-        if len(unit.doubts) >= AGREED:
+        if len(unit.doubts) >= AGREED and not self._on_trial(unit.build):
             self._set_aside(now, unit)
 
     def _learn(self, now: int, rq: Req, done: Try, status: str, lag: int) -> None:
@@ -400,6 +400,7 @@
         elif status in (face.UNREACHED, face.TIMEOUT) or (unit.failing > ASIDE_FAILING and blamed):
             # Errors of a build on trial are the judge's to weigh: setting its machines aside would starve it.
             self._set_aside(now, unit)
+        if status in (face.FAILED, face.UNREACHED, face.TIMEOUT):
             self._doubt(now, unit, self.s.me)
 
     def _set_aside(self, now: int, unit: Unit) -> None:
@@ -440,19 +441,23 @@
         if done.build < case.build:
             case.earlier[rq.place].add(1, failed, timed, logs, logs * logs)
             i.base[rq.place].add(1, failed, timed, logs, logs * logs)
-        elif not (failed and self._machine_to_blame(done.unit)):
+        elif not (failed and self._machine_to_blame(done.sent + lag, done.unit)):
             for sums in (case.own[rq.place], i.newer[rq.place]):
                 sums.add(1, failed, timed, logs, logs * logs)
             self._weigh(rq.place, 1, failed, timed, logs)
 
-    def _machine_to_blame(self, unit: Unit) -> bool:
-        """Fellows as old as it are sound; while none is known well, an earlier build's machine fails too."""
-        fellows = [one.ended() for one in self._machines(unit.build)
+    def _machine_to_blame(self, now: int, unit: Unit) -> bool:
+        """Fellows as old as it are sound; while none is known well, an earlier build's machine fails too, or
+        did before it drained: after a release nothing else tells sick machines from the build."""
+        machines, since = self._machines(unit.build), now - self.s.tip_after
+        if unit.doubted(since, self.s.me) and 3 * sum(one.doubted(since) for one in machines) <= len(machines):
+            return True  # errors of one machine hang together: the first at all relays counts
+        fellows = [one.ended() for one in machines
                    if one is not unit and one.since <= unit.since + SAME_AGE and one.ended()[0] >= SOUND_SEEN]
         sound = [bad <= max(unit.failing > ASIDE_FAILING, 2 * FAIL_FLOOR * seen) for seen, bad in fellows]
         if sound:
             return sum(sound) >= SOUND_FELLOWS * len(sound)
-        return any(one.ended()[1] >= FAILS_TOO for one in self.i.ready if one.build < unit.build)
+        return any(one.ended()[1] >= FAILS_TOO for one in self.i.units.values() if one.build < unit.build)
 
     def _machines(self, build: int) -> list[Unit]:
         return [unit for unit in self.i.ready if unit.build == build]
--- a/laurelcourse/state.py
+++ b/laurelcourse/state.py
@@ -113,6 +113,10 @@
         return (group == GROUP_ZONE and self.zone != other.zone) or (
             group == GROUP_CELL and self.cell != other.cell)
 
+    def doubted(self, since: int, but: int = -1) -> bool:
+        """Whether another relay than this one has doubted it since then."""
+        return any(at > since for relay, at in self.doubts.items() if relay != but)
+
     def ended(self) -> tuple[float, float]:
         """How many tries lately ended, and how many of them failed, here and as peers told."""
         return self.seen + self.heard[1], self.failed + self.heard[2]
