Silence is doubted by half of the relays that a unit should have answered; errors by two

A machine whose neighbour takes up to 0.7 of it answers late in three of ten; two late answers in a second rested it, though it served. Ruled out: the votes (the same seconds in both) and beats (a tick of 5 ms moves none). At fault: rules.py, _doubt: two doubts, however many reqs the unit answered meanwhile. Change: a doubt says whether the unit erred. Two relays' errors rest a unit as before. No word rests it only once half of the tries that a unit gets within the fall time, by this relay's answers, are doubted.

--- a/laurelcourse/messages.py
+++ b/laurelcourse/messages.py
@@ -10,7 +10,7 @@
 HEAD = struct.Struct("<BBIIHH")
 ROW = struct.Struct("<BIIIfIIIff")
 LOAD = struct.Struct("<IBBBB")
-UNIT = struct.Struct("<I")
+UNIT = struct.Struct("<IB")
 OPINION = struct.Struct("<BBIIHH")
 ROWS, LARGEST, COUNTED = (MOST - HEAD.size) // ROW.size, 255, 65535
 DOUBTED = (MOST - 3) // UNIT.size
@@ -41,10 +41,10 @@
 
 
 class Doubts(NamedTuple):
-    """Units that a relay doubts, and the site that it stands at."""
+    """Units that a relay doubts, each with 1 if it erred, 0 if it was not heard; and the relay's site."""
 
     site: int
-    units: list[int]
+    units: list[tuple[int, int]]
 
 
 def byte(value: float) -> int:
@@ -62,9 +62,9 @@
     return crc32(zone.encode()) % (LARGEST + 1)
 
 
-def pack_doubts(where: int, units: list[int]) -> bytes:
+def pack_doubts(where: int, units: list[tuple[int, int]]) -> bytes:
     """Units that a relay of a site doubts; those beyond the first go with a later message."""
-    return bytes((VERSION, DOUBTS, where)) + b"".join(UNIT.pack(unit) for unit in units[:DOUBTED])
+    return bytes((VERSION, DOUBTS, where)) + b"".join(UNIT.pack(*unit) for unit in units[:DOUBTED])
 
 
 def pack_sums(epoch: int, number: int, build: int, complained: int, rows: list) -> list[bytes]:
@@ -89,7 +89,7 @@
     if what == LOADS and (size - 2) % LOAD.size == 0:
         return what, {unit: counts for unit, *counts in LOAD.iter_unpack(payload[2:])}
     if what == DOUBTS and size > 3 and (size - 3) % UNIT.size == 0:
-        return what, Doubts(payload[2], [unit for unit, in UNIT.iter_unpack(payload[3:])])
+        return what, Doubts(payload[2], list(UNIT.iter_unpack(payload[3:])))
     if what == SUMS and size >= HEAD.size and (size - HEAD.size) % ROW.size == 0:
         rows = {place: row for place, *row in ROW.iter_unpack(payload[HEAD.size:])}
         if all(place < routes and all(map(math.isfinite, row)) for place, row in rows.items()):
--- a/laurelcourse/rules.py
+++ b/laurelcourse/rules.py
@@ -36,7 +36,8 @@
 STRAIN, STRAIN_GAIN, STRAIN_CLIP, LIMIT_FALL, LIMIT_RISE, EARNINGS_BEND = 0.5, 0.08, 1.5, 0.1, 1.02, 0.25
 ASIDE_FAILING, RESTED_FAILING, SEEN_FADE, GOOD_ON_END, FAILS_TOO, CLEAN_WRAP = 0.3, 0.2, 0.97, 3, 2, 250
 FAIL_GAIN, COLD_SAFETY, ANSWERED_OVER, COME_BACK_SHARE, DRAWS, LOADS_LAST = 0.25, 0.5, 4, 0.5, 4, 1_000_000
-SILENT_AFTER, TRIAL_DEARER, HOPELESS, HOPE, RETRY_SHARE, RETRY_STORE = 0.4, 4.0, 1.0, 0.1, 0.2, 10.0
+UNHEARD, SILENT_AFTER, TRIAL_DEARER = 0.5, 0.4, 4.0
+HOPELESS, HOPE, RETRY_SHARE, RETRY_STORE = 1.0, 0.1, 0.2, 10.0
 
 
 class Balancer(face.Decisions):
@@ -155,8 +156,9 @@
                 if told[unit.id][3] >= GOOD_ON_END and told[unit.id][3] != before[unit.id][3]:
                     unit.aside_until = min(unit.aside_until, now)
         elif what == messages.DOUBTS and not self.few and told.site == self.site:
-            for unit in [i.units[name] for name in told.units if name in i.units]:
-                self._doubt(now, unit, relay)
+            for name, erred in told.units:
+                if name in i.units:
+                    self._doubt(now, i.units[name], relay, erred > 0)
         return self.results()
 
     def stage(self, now: int, build: int, stage: int, standing: int, answers_vote: bool, status: str,
@@ -331,7 +333,7 @@
         for rq in [rq for rq in self.i.reqs.values() if rq.tries]:
             late = rq.tries[-1]
             if late.out and self.i.strain < STRAIN and self._unheard(now, rq, late.unit):
-                self._doubt(now, late.unit, self.s.me)
+                self._doubt(now, late.unit, self.s.me, False)
             may = late.out and late.number + 1 < self.s.max_tries and rq.route.repeat != known.NON_RETRIABLE
             long = now - late.sent > SILENT_AFTER * rq.route.objective
             if may and long and self._aside(now, rq, late.unit):
@@ -350,17 +352,20 @@
         return unit.unanswered is not None and (
             now - unit.unanswered > most * (2 if self._on_trial(unit.build) else 1))
 
-    def _doubt(self, now: int, unit: Unit, relay: int) -> None:
-        """One relay's doubt is told to all and proves nothing; two of a site at once set a unit aside. For
-        relays that meet a unit too seldom to know it; a site that is cut off accuses to itself alone."""
-        again = relay == self.s.me and now - unit.doubts.get(relay, 0) < self.s.tip_after
-        if self.few or again:
+    def _doubt(self, now: int, unit: Unit, relay: int, erred: bool) -> None:
+        """One relay's doubt is told to all and proves nothing. Errors at two of a site set a unit aside; so does
+        no word at half of those that it should have answered: fewer tell of a slow one. For relays that meet
+        a unit too seldom to know it; a site that is cut off accuses to itself alone."""
+        i, s, mine = self.i, self.s, relay == self.s.me
+        if self.few or (mine and now - unit.doubts.get(relay, (0, erred))[0] < s.tip_after):
             return
-        unit.doubts = {one: at for one, at in unit.doubts.items() if now - at < self.s.tip_after}
-        unit.doubts[relay] = now
-        if relay == self.s.me:
-            self.i.doubted.append(unit.id)
-        if len(unit.doubts) >= AGREED and not self._on_trial(unit.build):
+        unit.doubts = {one: told for one, told in unit.doubts.items() if now - told[0] < s.tip_after}
+        unit.doubts[relay] = (now, erred)
+        i.doubted += [(unit.id, erred)] if mine else []
+        met = i.answered.since(now - ANSWERED_OVER * s.tip_after) / ANSWERED_OVER
+        silent = len(unit.doubts) >= max(AGREED, UNHEARD * met * s.relays / max(len(i.ready), 1))
+        agreed = sum(erred for _, erred in unit.doubts.values()) >= AGREED
+        if (agreed or silent) and not self._on_trial(unit.build):
             self._set_aside(now, unit)
 
     def _learn(self, now: int, rq: Req, done: Try, status: str, lag: int) -> None:
@@ -401,7 +406,7 @@
             # Errors of a build on trial are the judge's to weigh: setting its machines aside would starve it.
             self._set_aside(now, unit)
         if status in (face.FAILED, face.UNREACHED, face.TIMEOUT):
-            self._doubt(now, unit, self.s.me)
+            self._doubt(now, unit, self.s.me, status == face.FAILED)
 
     def _set_aside(self, now: int, unit: Unit) -> None:
         resting = sum(one.aside_until > now for one in self.i.ready)
@@ -450,7 +455,8 @@
         """Fellows as old as it are sound; while none is known well, an earlier build's machine fails too, or
         did before it drained: after a release nothing else tells sick machines from the build."""
         machines, since = self._machines(unit.build), now - self.s.tip_after
-        if unit.doubted(since, self.s.me) and 3 * sum(one.doubted(since) for one in machines) <= len(machines):
+        doubted = sum(one.doubted(since) for one in machines)
+        if unit.doubted(since, self.s.me) and 3 * doubted <= len(machines):
             return True  # errors of one machine hang together: the first at all relays counts
         fellows = [one.ended() for one in machines
                    if one is not unit and one.since <= unit.since + SAME_AGE and one.ended()[0] >= SOUND_SEEN]
--- a/laurelcourse/state.py
+++ b/laurelcourse/state.py
@@ -104,7 +104,7 @@
             self.aside_until = self.aside_for = self.clean = 0
             self.seen = self.failed = 0.0
             self.sends, self.sent = Window(), 0
-            self.doubts: dict[int, int] = {}  # by relay, when
+            self.doubts: dict[int, tuple[int, bool]] = {}  # by relay, when, and whether the unit erred
         self.zone, self.cell, self.build, self.health = entry.zone, entry.cell, entry.build, entry.health
         self.since, self.gone = entry.since, None
 
@@ -115,7 +115,7 @@
 
     def doubted(self, since: int, but: int = -1) -> bool:
         """Whether another relay than this one has doubted it since then."""
-        return any(at > since for relay, at in self.doubts.items() if relay != but)
+        return any(at > since for relay, (at, _) in self.doubts.items() if relay != but)
 
     def ended(self) -> tuple[float, float]:
         """How many tries lately ended, and how many of them failed, here and as peers told."""
@@ -270,7 +270,7 @@
         self.vote = Vote()
         self.ask_at = self.ask_pause = 0
         self.told = self.tell_at = 0
-        self.doubted: list[int] = []
+        self.doubted: list[tuple[int, bool]] = []
         self.beat_at = now
         self.crossing = 0.0
         self.grouped = False
