--- a/laurelcourse/rules.py
+++ b/laurelcourse/rules.py
@@ -353,9 +353,9 @@
             now - unit.unanswered > most * (2 if self._on_trial(unit.build) else 1))
 
     def _doubt(self, now: int, unit: Unit, relay: int, erred: bool) -> None:
-        """One relay's doubt is told to all and proves nothing. Errors at two of a site set a unit aside; so does
-        no word at half of those that it should have answered: fewer tell of a slow one. For relays that meet
-        a unit too seldom to know it; a site that is cut off accuses to itself alone."""
+        """One relay's doubt is told to all and proves nothing. Errors at two of a site set a unit aside; so
+        does no word at half of those that it should have answered: fewer tell of a slow one. For relays that
+        meet a unit too seldom to know it; a site that is cut off accuses to itself alone."""
         i, s, mine = self.i, self.s, relay == self.s.me
         if self.few or (mine and now - unit.doubts.get(relay, (0, erred))[0] < s.tip_after):
             return
