A test that run starts nothing, meets no Unix socket and brings no further front's library

Change: the relay runs under an audit hook through a req, SIGHUP and SIGTERM; its second case starts a program and imports h11, and is seen.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -97,7 +97,8 @@
 
     def __init__(self, where: Path, units: int = 2, builds: tuple[int, ...] = (), sockets: int = 1024,
                  files: int = 0, news: str = "", down: bool = False, modes: str = "ok",
-                 memory: int = 192) -> None:
+                 memory: int = 192, watched: str = "") -> None:
+        """`watched`: a program that runs the module in the place of `-m`, with an eye on it."""
         self.units = [UnitStand() for _ in range(units)]
         self.directory, self.deployer = DirectoryStand(), DeployerStand()
         for place, unit in enumerate(self.units):
@@ -123,7 +124,8 @@
         self.path.write_text(json.dumps(self.config))
         words = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"].split()[1:]
         limit = (lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (files, files))) if files else None
-        self.process = subprocess.Popen([sys.executable, *words[1:]], cwd=ROOT, preexec_fn=limit,
+        words = ["-B", "-c", watched, *words[4:]] if watched else words[1:]
+        self.process = subprocess.Popen([sys.executable, *words], cwd=ROOT, preexec_fn=limit,
                                         env=os.environ | {"EDGE_CONFIG": str(self.path)},
                                         stderr=self.log.open("wb"))
         until(lambda: "msg=serving" in self.log.read_text() or self.process.poll() is not None)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -462,3 +462,35 @@
     for _ in range(200):
         letters, _, row = late.answer()
         assert letters == "TDCZ" and row.endswith(LARGE)
+
+
+WATCHED = """
+import atexit, os, runpy, sys
+seen = set()
+refused = ("os.fork", "os.forkpty", "os.posix_spawn", "os.exec", "os.system", "subprocess.Popen")
+def heed(event, args):
+    if event in refused or event in ("socket.bind", "socket.connect") and isinstance(args[1], (str, bytes)):
+        seen.add(event)
+sys.addaudithook(heed)
+for name in ("sendfile", "splice"):
+    setattr(os, name, lambda *_, name=name: seen.add(name))
+def tell():
+    named = {"cryptography", "h11", "lxml", "securesystemslib", "tuf"} & set(sys.modules)
+    print("watched", len(sys.modules) > 50, sorted(seen | named), file=sys.stderr)
+atexit.register(tell)
+runpy.run_module("laurelcourse", run_name="__main__", alter_sys=True)
+"""
+
+
+@pytest.mark.parametrize("also, found", [
+    ("", "[]"), ("import h11; os.system('true')", "['h11', 'os.system']")])
+def test_run_starts_nothing_and_brings_none_of_the_other_fronts_libraries(
+        serve: Callable[..., Served], also: str, found: str) -> None:
+    served = serve(watched=WATCHED.replace("runpy.run", f"{also}\nrunpy.run"))
+    assert served.client().ask(sql())[:2] == COMPLETED
+    served.process.send_signal(signal.SIGHUP)
+    until(lambda: "configuration taken" in served.log.read_text())
+    assert served.client().ask(sql())[:2] == COMPLETED
+    served.process.send_signal(signal.SIGTERM)
+    assert served.process.wait(10) == 0
+    assert f"watched True {found}" in served.log.read_text()
