Settings that can't be served with are one plain line; odd ones that can are served with

Need: a relay of hundreds starts or says in one line why it can't. Seen by reading: no routes, an objective, tick, fall time or warm-up of 0, no relays and descriptors under what a process needs ended in a trace or in a relay that serves nobody. Change: each has a least value at the decoder, named with its path, exit 2; 32 descriptors at least. A zone of no unit, no peers or 600, repeated members, two at one address, no members, 32 descriptors and 24 MB serve, as eight tests over sockets show.

--- a/laurelcourse/net/limits.py
+++ b/laurelcourse/net/limits.py
@@ -5,6 +5,7 @@
 from laurelcourse.settings import Tree
 
 SECOND = 1_000_000
+LEAST_SOCKETS = 32  # sixteen are the process's own and its peers'; fewer beside them serve nobody in a burst
 
 
 class Limits(NamedTuple):
@@ -53,7 +54,7 @@
     so that no req taken lacks a connection, and a tenth for clients that are told there is no room. Clients
     hold at most a third of all descriptors for reqs: room is made a little before that. A message holds a
     value of 64 KiB in hexadecimal digits and the statement round it, at every size of memory."""
-    sockets, memory = tree.whole("limits.sockets"), tree.whole("limits.memory_mb") << 20
+    sockets, memory = tree.whole("limits.sockets", LEAST_SOCKETS), tree.whole("limits.memory_mb", 1) << 20
     shared = max(sockets - sockets // 8 - 16, 8)
     message = 136 << 10
     idle = tree.micros("settings.limits.conn_idle")
--- a/laurelcourse/settings.py
+++ b/laurelcourse/settings.py
@@ -109,11 +109,17 @@
             raise self.unreadable(path)
         return value
 
-    def whole(self, path: str) -> int:
-        return round(self.number(path))
+    def whole(self, path: str, least: int | None = None) -> int:
+        return self._least(path, round(self.number(path)), least, least)
 
-    def micros(self, path: str) -> int:
-        return round(self.number(path) * 1000)
+    def micros(self, path: str, least: int | None = None) -> int:
+        """Milliseconds as told, in microseconds; `least` in microseconds too."""
+        return self._least(path, round(self.number(path) * 1000), least, (least or 0) / 1000)
+
+    def _least(self, path: str, value: int, least: int | None, told: float | None) -> int:
+        if least is not None and value < least:
+            raise SettingsError(f"has '{self.name}{path}' under {told:g}, the least that can be served with")
+        return value
 
     def numbers(self, path: str) -> tuple[float, ...]:
         found = self.value(path)
@@ -132,26 +138,28 @@
 
 def route(tree: Tree, at: str) -> Route:
     return Route(
-        name=tree.text(at + "name"), objective=tree.micros(at + "aim"),
+        name=tree.text(at + "name"), objective=tree.micros(at + "aim", 1000),
         timeout=tree.micros(at + "deadline"), earnings=tree.number(at + "worth"),
         late_share=tree.number(at + "late_share"), repeat=tree.one_of(at + "effect", REPEATS),
         group=tree.text(at + "group"), memory=tree.micros(at + "memory_span"))
 
 
 def decode(tree: Tree) -> Settings:
+    if not tree.items("classes"):
+        raise SettingsError(f"has no route in '{tree.name}classes'")
     return Settings(
-        me=tree.whole("me"), relays=tree.whole("balancers"), zone=tree.text("locality"),
+        me=tree.whole("me", 0), relays=tree.whole("balancers", 1), zone=tree.text("locality"),
         routes=tuple(route(tree, f"classes.{place}.") for place in range(len(tree.items("classes")))),
-        tick=tree.micros("tick"), max_tries=tree.whole("limits.max_attempts"),
+        tick=tree.micros("tick", 1), max_tries=tree.whole("limits.max_attempts"),
         may_duplicate=tree.flag("limits.may_duplicate"), may_probe=tree.flag("limits.probes"),
         may_tell=tree.flag("limits.peer_messages"), may_name_return=tree.flag("limits.retry_after"),
         longest_return=tree.micros("limits.max_retry_after"), must_ask=tree.text("discovery") == "ask",
         ask_within=tree.micros("obligations.must_ask_in"),
         drain_grace=tree.micros("obligations.stop_sending_within"),
         cold_share=tree.number("obligations.start_capacity"),
-        warm_after=tree.micros("obligations.warm_after"),
+        warm_after=tree.micros("obligations.warm_after", 1),
         overload_factor=tree.number("obligations.overload_factor"),
-        tip_after=tree.micros("obligations.tip_after"),
+        tip_after=tree.micros("obligations.tip_after", 1),
         cap_by_route=tree.text("domain.cap_scope") == "per_lane", cap_free=tree.number("domain.free"),
         cap_window=tree.micros("domain.counted_over"), stage_caps=tree.numbers("domain.most_shares"),
         stage_shares=tree.numbers("domain.rings"), shielded=tree.whole("domain.shielded"),
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -17,10 +17,10 @@
 from conftest import ROOT, Served
 
 from laurelcourse import VERSION, messages
-from laurelcourse.standins.base import RELAY, until
+from laurelcourse.standins.base import RELAY, free_port, until
 from laurelcourse.standins.deployer import DeployerStand
 from laurelcourse.standins.directory import DirectoryStand
-from laurelcourse.standins.postgres import HELLO, IDLE, LARGE, LARGER, ROW, UnitStand, pg, sql
+from laurelcourse.standins.postgres import HELLO, IDLE, LARGE, LARGER, ROW, PgClient, UnitStand, pg, sql
 from laurelcourse.standins.settings import OUTSIDE
 
 COMPLETED, SHED, ERRORED = ("TDCZ", ""), ("EZ", "53300"), ("EZ", "58000")
@@ -429,6 +429,13 @@
     (lambda config: config["pipeline"]["news"].update(phase="Gone"), "'pipeline.news'"),
     (lambda config: config["known"].pop("members"), "'known'"),
     (lambda config: config["settings"]["classes"][1].update(effect="odd"), "'settings.classes.1.effect'"),
+    (lambda config: config["settings"].update(classes=[]), "no route in 'settings.classes'"),
+    (lambda config: config["settings"]["classes"][0].update(aim=0), "'settings.classes.0.aim' under 1,"),
+    (lambda config: config["settings"].update(balancers=0), "'settings.balancers' under 1,"),
+    (lambda config: config["settings"].update(tick=0), "'settings.tick' under 0.001,"),
+    (lambda config: config["settings"]["obligations"].update(tip_after=0), "obligations.tip_after' under"),
+    (lambda config: config["limits"].update(sockets=20), "'limits.sockets' under 32,"),
+    (lambda config: config.update(peers=["here"]), "unreadable 'peers'"),
     (lambda config: config.update(seed="xyz"), "unreadable 'seed'"), (None, "is not JSON")])
 @pytest.mark.parametrize("command", ["serve", "check"])
 def test_a_bad_configuration_is_one_plain_line_and_exit_2(
@@ -494,3 +501,34 @@
     served.process.send_signal(signal.SIGTERM)
     assert served.process.wait(10) == 0
     assert f"watched True {found}" in served.log.read_text()
+
+
+@pytest.mark.parametrize("change", [
+    lambda config: config["settings"].update(locality="elsewhere"),
+    lambda config: config.update(peers=[]),
+    lambda config: config.update(peers=[f"127.9.{one // 250}.{one % 250 + 1}:7946" for one in range(600)]),
+    lambda config: config["settings"].update(balancers=600, me=599),
+    lambda config: config["known"].update(members=config["known"]["members"] * 3),
+    lambda config: config["known"]["members"][1].update(host_port=config["known"]["members"][0]["host_port"]),
+    lambda config: config["known"].update(members=[]),
+    lambda config: config["limits"].update(sockets=32, memory_mb=24)])
+def test_an_odd_but_readable_configuration_is_served_with(
+        shared: Served, tmp_path: Path, change: Callable) -> None:
+    config = json.loads(json.dumps(shared.config)) | {
+        "listen": f"{RELAY}:{free_port()}", "peer_listen": f"{RELAY}:{free_port(socket.SOCK_DGRAM)}"}
+    change(config)
+    path, log = tmp_path / "config.json", tmp_path / "log"
+    path.write_text(json.dumps(config))
+    for unit in shared.units:
+        unit.mode = "ok"
+    with log.open("wb") as told, subprocess.Popen(
+            [sys.executable, "-B", "-m", "laurelcourse", "serve", "--config", str(path)], cwd=ROOT,
+            stderr=told) as process:
+        try:
+            until(lambda: "msg=serving" in log.read_text() or process.poll() is not None)
+            port = int(config["listen"].split(":")[1])
+            until(lambda: PgClient(port).ask(sql())[:2] == COMPLETED)
+            process.send_signal(signal.SIGTERM)
+            assert process.wait(10) == 0 and "Traceback" not in log.read_text()
+        finally:
+            process.kill()
