Voters tell how long tries wait at all relays, and a jam holds the shed limit at once

Checked by logging every try and shed: sheds came from the limit alone ("shed limit=12.4 open=13 strain=0.85" at 16.7 s, "limit=2.0 open=2 strain=1.00" at 19.6 s), three to six seconds after the cause. By the probe: 1,000 reqs queue within two seconds over 200 relays, and it takes as long until an EWMA of 4 answers a second tells it. At fault: rules.py, timer(): the limit hangs on strain, which only answers move, one relay's. Change: sums carry the sender's open tries; a voter's word how long tries wait by Little's law over all relays. Where two voters tell more than half of the shortest objective, and that every route's answers have become late too (else silent units may hold them), the limit falls to the open tries at once and goes on from there. Messages are version 3.

--- a/laurelcourse/messages.py
+++ b/laurelcourse/messages.py
@@ -5,9 +5,9 @@
 from typing import NamedTuple
 from zlib import crc32
 
-VERSION, SUMS, LOADS, WORD, DOUBTS = 2, 1, 2, 3, 4
+VERSION, SUMS, LOADS, WORD, DOUBTS = 3, 1, 2, 3, 4
 MOST = 256
-HEAD = struct.Struct("<BBIIHH")
+HEAD = struct.Struct("<BBIIHHH")
 ROW = struct.Struct("<BIIIfIIIff")
 LOAD = struct.Struct("<IBBBB")
 UNIT = struct.Struct("<IB")
@@ -17,7 +17,8 @@
 
 
 class Told(NamedTuple):
-    """Running sums of one relay by route: at the build on trial, then at the builds before it.
+    """Running sums of one relay by route: at the build on trial, then at the builds before it; and how many
+    tries are open there.
 
     A route's row: counted, failed, timed, summed log latency; then earlier builds' and their squares."""
 
@@ -25,12 +26,13 @@
     number: int
     build: int
     complained: int
+    open: int
     rows: dict[int, tuple]
 
 
 class Word(NamedTuple):
-    """What a hashed voter makes of the pool: posteriors by kind, the outcomes they rest on, and each
-    route's usual latency as a multiple of its objective."""
+    """What a hashed voter makes of the pool: posteriors by kind, the outcomes they rest on, each route's
+    usual latency as a multiple of its objective, and how long tries wait at all relays, of the shortest."""
 
     epoch: int
     number: int
@@ -38,6 +40,7 @@
     counted: int
     posteriors: tuple[float, ...]
     usual: tuple[float, ...]
+    wait: float = 0.0
 
 
 class Doubts(NamedTuple):
@@ -67,9 +70,10 @@
     return bytes((VERSION, DOUBTS, where)) + b"".join(UNIT.pack(*unit) for unit in units[:DOUBTED])
 
 
-def pack_sums(epoch: int, number: int, build: int, complained: int, rows: list) -> list[bytes]:
+def pack_sums(epoch: int, number: int, build: int, complained: int, rows: list,
+              opened: int = 0) -> list[bytes]:
     """As many messages as the rows need; a row begins with its route's place."""
-    head = HEAD.pack(VERSION, SUMS, epoch, number, build, complained)
+    head = HEAD.pack(VERSION, SUMS, epoch, number, build, complained, min(opened, COUNTED))
     return [head + b"".join(ROW.pack(*row) for row in rows[first:first + ROWS])
             for first in range(0, len(rows), ROWS) or (0,)]
 
@@ -77,7 +81,7 @@
 def pack_word(word: Word) -> bytes:
     """Posteriors in parts of 255, latencies in eighths of a doubling of the objective, around 128."""
     parts = [byte(LARGEST * part) for part in word.posteriors]
-    usual = [byte(128 + 8 * math.log2(one)) if one > 0 else 0 for one in word.usual]
+    usual = [byte(128 + 8 * math.log2(one)) if one > 0 else 0 for one in (*word.usual, word.wait)]
     head = OPINION.pack(VERSION, WORD, word.epoch, word.number, word.build, min(word.counted, COUNTED))
     return head + bytes(parts + usual)
 
@@ -94,8 +98,8 @@
         rows = {place: row for place, *row in ROW.iter_unpack(payload[HEAD.size:])}
         if all(place < routes and all(map(math.isfinite, row)) for place, row in rows.items()):
             return what, Told(*HEAD.unpack_from(payload)[2:], rows)
-    if what == WORD and size >= OPINION.size + routes:
-        parts = tuple(part / LARGEST for part in payload[OPINION.size:size - routes])
-        usual = tuple(2 ** ((one - 128) / 8) if one else 0.0 for one in payload[size - routes:])
-        return what, Word(*OPINION.unpack_from(payload)[2:], parts, usual)
+    if what == WORD and size > OPINION.size + routes:
+        parts = tuple(part / LARGEST for part in payload[OPINION.size:size - routes - 1])
+        *usual, wait = (2 ** ((one - 128) / 8) if one else 0.0 for one in payload[size - routes - 1:])
+        return what, Word(*OPINION.unpack_from(payload)[2:], parts, tuple(usual), wait)
     return None
--- a/laurelcourse/rules.py
+++ b/laurelcourse/rules.py
@@ -37,7 +37,7 @@
 ASIDE_FAILING, RESTED_FAILING, SEEN_FADE, GOOD_ON_END, FAILS_TOO, CLEAN_WRAP = 0.3, 0.2, 0.97, 3, 2, 250
 FAIL_GAIN, COLD_SAFETY, ANSWERED_OVER, COME_BACK_SHARE, DRAWS, LOADS_LAST = 0.25, 0.5, 4, 0.5, 4, 1_000_000
 UNHEARD, SILENT_AFTER, TRIAL_DEARER = 0.5, 0.4, 4.0
-HOPELESS, HOPE, RETRY_SHARE, RETRY_STORE = 1.0, 0.1, 0.2, 10.0
+HOPELESS, HOPE, RETRY_SHARE, RETRY_STORE, JAM = 1.0, 0.1, 0.2, 10.0, 0.35
 
 
 class Balancer(face.Decisions):
@@ -132,7 +132,9 @@
         i.ask_at *= i.ask_at > now
         # More outcomes than these make a baseline no surer, only later to see what befalls all builds.
         i.fade(0.5 ** (beats * self.beat / BASE_HALVES), 4 * BASE_ENOUGH, BASE_MOST)
-        change = (STRAIN / i.strain) ** LIMIT_FALL if i.strain > STRAIN else LIMIT_RISE
+        strain = max(i.strain, jam := self._jam(now))
+        change = (STRAIN / strain) ** LIMIT_FALL if strain > STRAIN else LIMIT_RISE
+        i.limit = min(i.limit, max(i.open, 2)) if jam > STRAIN else i.limit
         i.usual_open += (i.open - i.usual_open) * min(beats * self.beat / LOADS_LAST, 1.0)
         i.limit = max(2.0, min(i.limit * change ** beats, 2 * i.usual_open + 10.0))
         i.tidy(now, now - LOADS_LAST, now - ANSWERED_OVER * self.s.tip_after, self.s)
@@ -146,6 +148,7 @@
         known_peer = 0 <= relay < self.s.relays
         what, told = (known_peer and messages.unpack(payload, len(self.s.routes))) or (None, None)
         if what == messages.SUMS and case and self.s.me in case.voters:
+            i.flow.hear(now, relay, told.open)
             self._hear(relay, told)
         elif what == messages.WORD and case and len(told.posteriors) == len(self.kinds):
             case.take(now, relay, told)
@@ -206,6 +209,12 @@
             self._tries_at(unit.build, rq.place).add(now)
         self.out.append((face.SEND, rq.id, unit.id, rq.due - now))
 
+    def _jam(self, now: int) -> float:
+        """How long tries wait at all relays, of the shortest objective, where every route's answers are late
+        as well: else a few silent units may hold them. One relay's own answers tell it too late."""
+        told = self.i.case and not self.few and self.i.case.agreed(now - WORD_LASTS * self.tell_every, AGREED)
+        return min(told.wait, STRAIN_CLIP) if told and min(told.usual) > JAM else 0.0
+
     def _hopeless(self, now: int, place: int) -> bool:
         """A route that is late at all units holds places that others need: a few of its reqs find out."""
         told = self.i.case and self.i.case.agreed(now - WORD_LASTS * self.tell_every, AGREED)
@@ -557,11 +566,12 @@
             return
         i.tell_at = now + self.tell_every
         if case.changed:
-            bodies = messages.pack_sums(i.epoch, i.told, case.build, case.complained, case.rows())
+            bodies = messages.pack_sums(i.epoch, i.told, case.build, case.complained, case.rows(), i.open)
             self.out += [(face.TELL, one, body) for one in case.voters if one != s.me for body in bodies]
         if s.me in case.voters:
             late, parts = i.lateness(s.routes, BASE_ENOUGH), tuple(self._posteriors().values())
-            word = messages.Word(i.epoch, i.told, case.build, case.counted, parts, late)
+            wait = i.flow.wait(now, LOADS_LAST) / min(route.objective for route in s.routes)
+            word = messages.Word(i.epoch, i.told, case.build, case.counted, parts, late, wait)
             self.out.append((face.TELL, "all", messages.pack_word(word)))
             case.take(now, s.me, word)
 
@@ -580,6 +590,7 @@
         for place, row in rows:
             count, failed, timed, logs, *earlier = row
             i.base[place].add(*earlier)
+            i.flow.ended += count + earlier[0]
             if count > 0:
                 i.newer[place].add(count, failed, timed, logs, logs * logs / max(timed, 1))
                 self._weigh(place, count, failed, timed, logs)
--- a/laurelcourse/state.py
+++ b/laurelcourse/state.py
@@ -199,8 +199,9 @@
             return None
         parts, usual = ([sorted(column)[-voters] for column in zip(*rows, strict=True)] for rows in (
             [word.posteriors for word in words], [word.usual for word in words]))
-        counted = sorted(word.counted for word in words)[-voters]
-        return Word(0, 0, self.build, counted, tuple(parts), tuple(usual))
+        counted, wait = (sorted(column)[-voters] for column in zip(
+            *((word.counted, word.wait) for word in words), strict=True))
+        return Word(0, 0, self.build, counted, tuple(parts), tuple(usual), wait)
 
     def gain(self, relay: int, told: Told) -> tuple[int, list[tuple[int, list[float]]]]:
         """What a peer adds, complaints and sums by route: nothing if overtaken, all since a restart."""
@@ -248,6 +249,28 @@
         return self.near[place] if place < len(self.near) else self.far[place - len(self.near)]
 
 
+class Flow:
+    """Tries at all relays, as a voter hears of them: how many are open, and how many end."""
+
+    __slots__ = ("at", "ended", "opened", "rate")
+
+    def __init__(self, now: int) -> None:
+        self.at, self.ended, self.rate = now, 0.0, 0.0
+        self.opened: dict[int, tuple[int, int]] = {}
+
+    def hear(self, now: int, relay: int, opened: int) -> None:
+        self.opened[relay] = (now, opened)
+
+    def wait(self, now: int, lasts: int) -> float:
+        """How long a try is open, in microseconds, by Little's law (Little 1961): it shows a jam before late
+        answers do. What a relay told counts for so long; rates are smoothed over as long; 0 if unknown."""
+        took = max(now - self.at, 1)
+        self.rate += (self.ended / took - self.rate) * (min(took / lasts, 1.0) if self.rate else 1.0)
+        self.at, self.ended = now, 0.0
+        self.opened = {relay: told for relay, told in self.opened.items() if now - told[0] < lasts}
+        return sum(opened for _, opened in self.opened.values()) / self.rate if self.rate > 0 else 0.0
+
+
 class Instance:
     def __init__(self, seed: int, now: int, routes: int) -> None:
         self.chance, self.epoch = Chance(seed), now // 1000 % (1 << 32)
@@ -271,6 +294,7 @@
         self.ask_at = self.ask_pause = 0
         self.told = self.tell_at = 0
         self.doubted: list[tuple[int, bool]] = []
+        self.flow = Flow(now)
         self.beat_at = now
         self.crossing = 0.0
         self.grouped = False
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -485,3 +485,37 @@
     for teller in range(1, tellers + 1):
         one.one.peer(one.now, teller, word)
     assert (one.one.i.units[4].aside_until > one.now) == aside
+
+
+@pytest.mark.parametrize("relays, usual, wait, falls", [
+    (300, 0.6, 0.8, True), (300, 0.2, 0.8, False), (300, 0.6, 0.4, False), (3, 0.6, 0.8, False)])
+def test_a_jam_of_the_fleet_holds_open_tries_to_what_they_are(
+        relay: type, relays: int, usual: float, wait: float, falls: bool) -> None:
+    one = relay(relays=relays)
+    one.list(*WARM)
+    one.news(5, standing=2)
+    for _ in range(4):
+        one.req("once")
+    case, before = one.one.i.case, one.one.i.limit
+    for voter in case.voters[:3]:
+        word = messages.Word(1, 1, 5, 9, (0.1,) * len(one.one.kinds), (usual, 0.7, 0.9), wait)
+        one.one.peer(one.now, voter, messages.pack_word(word))
+    one.wait(0.05)
+    assert (one.one.i.limit <= 4) == falls and (falls or one.one.i.limit == pytest.approx(before, rel=0.5))
+
+
+def test_voters_tell_how_long_tries_wait_at_all_relays(relay: type) -> None:
+    one = relay(relays=300)
+    one.list(*WARM, (7, "a", 6, 9))
+    one.news(6)
+    one.one.s = one.one.s._replace(me=one.one.i.case.voters[0])
+    words = []
+    for second in range(1, 9):
+        for teller in (20, 21):
+            row = (0, 5 * second, 0, 0, 0.0, 5 * second, 0, 0, 0.0, 0.0)
+            one.one.peer(one.now, teller, messages.pack_sums(1, second, 6, 0, [row], 8)[0])
+        told = [messages.unpack(found[2], 3) for found in one.wait(1) if found[0] == face.TELL]
+        words += [word.wait for what, word in told if what == messages.WORD]
+    assert max(words[len(words) // 2:]) == pytest.approx(16 / 20, rel=0.3)
+    one.wait(3)
+    assert not one.one.i.flow.opened
