Errors told by other relays excuse a machine for four fall times, silence does not

Checked by logging each error with its excuse: of 300 some 45 counted, all but a few at the same ten machines, each time because no other relay of the site had erred there within the last second: machines on trial get four tries a second from all sites. Five in a row on one route call a build back. Ruled out: restarted voters (those that voted back were not). At fault: rules.py, _machine_to_blame: doubts counted for one fall time, and silent machines as doubted ones. Change: for the judge an error that another relay told counts for four fall times, and errors alone count. A bad build's machines nearly all have erred by then, more than the third that excuses; resting still asks for the last fall time.

--- a/laurelcourse/rules.py
+++ b/laurelcourse/rules.py
@@ -36,7 +36,7 @@
 STRAIN, STRAIN_GAIN, STRAIN_CLIP, LIMIT_FALL, LIMIT_RISE, EARNINGS_BEND = 0.5, 0.08, 1.5, 0.1, 1.02, 0.25
 ASIDE_FAILING, RESTED_FAILING, SEEN_FADE, GOOD_ON_END, FAILS_TOO, CLEAN_WRAP = 0.3, 0.2, 0.97, 3, 2, 250
 FAIL_GAIN, COLD_SAFETY, ANSWERED_OVER, COME_BACK_SHARE, DRAWS, LOADS_LAST = 0.25, 0.5, 4, 0.5, 4, 1_000_000
-UNHEARD, SILENT_AFTER, TRIAL_DEARER = 0.5, 0.4, 4.0
+UNHEARD, DOUBTS_LAST, SILENT_AFTER, TRIAL_DEARER = 0.5, 4, 0.4, 4.0
 HOPELESS, HOPE, RETRY_SHARE, RETRY_STORE, JAM = 1.0, 0.1, 0.2, 10.0, 0.35
 
 
@@ -368,12 +368,14 @@
         i, s, mine = self.i, self.s, relay == self.s.me
         if self.few or (mine and now - unit.doubts.get(relay, (0, erred))[0] < s.tip_after):
             return
-        unit.doubts = {one: told for one, told in unit.doubts.items() if now - told[0] < s.tip_after}
+        until = now - DOUBTS_LAST * s.tip_after
+        unit.doubts = {one: told for one, told in unit.doubts.items() if told[0] > until}
         unit.doubts[relay] = (now, erred)
         i.doubted += [(unit.id, erred)] if mine else []
         met = i.answered.since(now - ANSWERED_OVER * s.tip_after) / ANSWERED_OVER
-        silent = len(unit.doubts) >= max(AGREED, UNHEARD * met * s.relays / max(len(i.ready), 1))
-        agreed = sum(erred for _, erred in unit.doubts.values()) >= AGREED
+        recent = [erred for at, erred in unit.doubts.values() if now - at < s.tip_after]
+        silent = len(recent) >= max(AGREED, UNHEARD * met * s.relays / max(len(i.ready), 1))
+        agreed = sum(recent) >= AGREED
         if (agreed or silent) and not self._on_trial(unit.build):
             self._set_aside(now, unit)
 
@@ -463,9 +465,8 @@
     def _machine_to_blame(self, now: int, unit: Unit) -> bool:
         """Fellows as old as it are sound; while none is known well, an earlier build's machine fails too, or
         did before it drained: after a release nothing else tells sick machines from the build."""
-        machines, since = self._machines(unit.build), now - self.s.tip_after
-        doubted = sum(one.doubted(since) for one in machines)
-        if unit.doubted(since, self.s.me) and 3 * doubted <= len(machines):
+        machines, since = self._machines(unit.build), now - DOUBTS_LAST * self.s.tip_after
+        if unit.erred(since, self.s.me) and 3 * sum(one.erred(since) for one in machines) <= len(machines):
             return True  # errors of one machine hang together: the first at all relays counts
         fellows = [one.ended() for one in machines
                    if one is not unit and one.since <= unit.since + SAME_AGE and one.ended()[0] >= SOUND_SEEN]
--- a/laurelcourse/state.py
+++ b/laurelcourse/state.py
@@ -113,9 +113,9 @@
         return (group == GROUP_ZONE and self.zone != other.zone) or (
             group == GROUP_CELL and self.cell != other.cell)
 
-    def doubted(self, since: int, but: int = -1) -> bool:
-        """Whether another relay than this one has doubted it since then."""
-        return any(at > since for relay, (at, _) in self.doubts.items() if relay != but)
+    def erred(self, since: int, but: int = -1) -> bool:
+        """Whether it has erred at another relay than this one since then."""
+        return any(erred and at > since for relay, (at, erred) in self.doubts.items() if relay != but)
 
     def ended(self) -> tuple[float, float]:
         """How many tries lately ended, and how many of them failed, here and as peers told."""
