Only machines of the relay's own site tell how many of a build's have erred

At fault: rules.py, _machine_to_blame: errors told by the own site alone were held against the machines of all sites, and so never came to a third of a bad build's. Change: machines of the own site are counted, and only such a machine is excused.

--- a/laurelcourse/rules.py
+++ b/laurelcourse/rules.py
@@ -466,7 +466,9 @@
         """Fellows as old as it are sound; while none is known well, an earlier build's machine fails too, or
         did before it drained: after a release nothing else tells sick machines from the build."""
         machines, since = self._machines(unit.build), now - DOUBTS_LAST * self.s.tip_after
-        if unit.erred(since, self.s.me) and 3 * sum(one.erred(since) for one in machines) <= len(machines):
+        near = [one for one in machines if one.zone == self.s.zone]  # those that the relays heeded here meet
+        erred = sum(one.erred(since) for one in near)
+        if unit in near and unit.erred(since, self.s.me) and 3 * erred <= len(near):
             return True  # errors of one machine hang together: the first at all relays counts
         fellows = [one.ended() for one in machines
                    if one is not unit and one.since <= unit.since + SAME_AGE and one.ended()[0] >= SOUND_SEEN]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -462,7 +462,8 @@
 def test_errors_of_a_machine_that_others_doubt_count_once_while_most_are_sound(
         relay: type, doubted: int, erred: int, age: int, counted: int) -> None:
     one = relay(relays=300, cap_free=1000)
-    one.list(*WARM, *((unit, "a", 6, 90) for unit in range(10, 19)))
+    others = ((unit, "b", 6, 90) for unit in range(30, 50))
+    one.list(*WARM, *((unit, "a", 6, 90) for unit in range(10, 19)), *others)
     one.news(6)
     word = messages.pack_doubts(messages.site("a"), [(unit, erred) for unit in range(10, 10 + doubted)])
     one.one.peer(one.now, 1, word)
