The relay is handed its fronts, and labs' guards know no command line; the fleet's forms

Need: net/relay and fronts/tuf/wiring imported each other, and so did cli and lab/broken; the fleet's parts need types that all of them agree on before they are built apart. Change: Relay takes a function that makes its further fronts; guards stand in lab/guards.py.

--- a/laurelcourse/cli.py
+++ b/laurelcourse/cli.py
@@ -1,6 +1,7 @@
 """The command line."""
 
 import sys
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 import click
@@ -8,6 +9,7 @@
 from laurelcourse import VERSION
 from laurelcourse.net import config as configuration
 from laurelcourse.net import log
+from laurelcourse.net.assembly import Assembly, Host
 from laurelcourse.net.relay import Relay
 
 if TYPE_CHECKING:
@@ -40,6 +42,16 @@
         sys.exit(2)
 
 
+def fronts(operator: "Operator | None", host: Host) -> list[Assembly]:
+    """The fronts that the operators' settings name."""
+    if operator is None or not operator.fronts:
+        return []
+    # The plain relay has none of the libraries that these need.
+    from laurelcourse.fronts.tuf import wiring
+    folder = Path(operator.path).parent
+    return [wiring.assemble(host, one, len(operator.fronts), folder) for one in operator.fronts]
+
+
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
 def main() -> None:
     """A relay that shifts calls between an old and a new build of the units behind it."""
@@ -56,7 +68,7 @@
     settings = read_operator(operator)
     log.start(log_level)
     try:
-        Relay(read_config, lambda: configuration.read(path), settings).run()
+        Relay(read_config, lambda: configuration.read(path), lambda host: fronts(settings, host)).run()
     except configuration.ConfigError as error:
         click.echo(error, err=True)
         sys.exit(2)
--- /dev/null
+++ b/laurelcourse/fleet/books/forms.py
@@ -0,0 +1,102 @@
+"""Commands to the fleet's common books, and what comes of each: plain values, no I/O.
+
+A command bears a mark, by which it is carried out once however often it is given, and a fence, by which the
+books know whether its asker may still act. Amounts are whole numbers (of tries, connections, milli-units of
+work...), times whole microseconds; durations are by the asker's clock, `at` by the leader's account.
+"""
+
+from typing import NamedTuple
+
+RATE, LEVEL, COUNT = "rate", "level", "count"
+
+
+class Fence(NamedTuple):
+    """Who asks: the relay's name, its session (never used again), which of that name's sessions it is, and
+    the keepers' term in which it was opened. A later session of the same name fences an earlier one off."""
+
+    name: str
+    session: int
+    boot: int
+    term: int
+
+
+class Command(NamedTuple):
+    """`mark`: counted up by the session, from 1; for `Open` any number above 0 chosen at random."""
+
+    fence: Fence | None
+    mark: int
+    what: "What"
+
+
+class Batch(NamedTuple):
+    """The data of one entry of kind BOOKS. `at`: the leader's account of time, which never runs backwards in
+    the books: it goes on from the books' own time when a leader begins, by its monotonic clock."""
+
+    at: int
+    term: int
+    commands: tuple[Command, ...]
+
+
+# Sessions
+
+class Open(NamedTuple):
+    """A relay begins. Value: its Fence. Given again with the same mark it finds the same session."""
+
+    name: str
+    site: str
+
+
+class Close(NamedTuple):
+    """A relay ends by itself: what it holds is free at once, levels too."""
+
+
+class Lapse(NamedTuple):
+    """From the leader alone, once a session's lease is surely over by the keepers' clock."""
+
+    session: int
+
+
+# Budgets (`docs/fleet-books.md`): shares of a whole
+
+class Define(NamedTuple):
+    """The budgets as the operators' settings have them, from the leader; the whole list each time."""
+
+    budgets: tuple["Budget", ...]
+
+
+class Budget(NamedTuple):
+    name: str
+    kind: str                    # RATE, LEVEL, COUNT
+    whole: int                   # of the scope, at any instant (LEVEL), a second (RATE), in `window` (COUNT)
+    floor: int                   # what each relay may use without any share
+    relays: int                  # the most there may be: floors of all fit in the whole
+    window: int                  # of a COUNT; else 0
+    freed_after: int             # a LEVEL whose holder has lapsed is free so long after
+
+
+class Grant(NamedTuple):
+    """Shares of one budget for sessions, from the leader, as `budgets/divide.py` made them. A lower share
+    than before is asked back: what was granted before counts until its holder has given it back."""
+
+    budget: str
+    shares: tuple[tuple[int, int], ...]   # session, share
+
+
+class GiveBack(NamedTuple):
+    """A relay holds no more than `keeps` of its share from now on."""
+
+    budget: str
+    keeps: int
+
+
+What = Open | Close | Lapse | Define | Grant | GiveBack
+
+
+class Done(NamedTuple):
+    """What came of a command: a value of plain ints and strings (a Fence for `Open`), or an error's code
+    with whom it concerns and its figures (`fleet.errors`)."""
+
+    value: tuple = ()
+    code: str = ""
+    to: str = ""
+    told: tuple[tuple[str, int | str], ...] = ()
--- a/laurelcourse/fronts/tuf/wiring.py
+++ b/laurelcourse/fronts/tuf/wiring.py
@@ -3,7 +3,6 @@
 import itertools
 import logging
 from pathlib import Path
-from typing import TYPE_CHECKING
 
 from laurelcourse import interface as face
 from laurelcourse import settings as known
@@ -16,7 +15,7 @@
 from laurelcourse.fronts.tuf.transfer import Blocks
 from laurelcourse.fronts.tuf.trust import Trust, TrustError
 from laurelcourse.net import forms
-from laurelcourse.net.assembly import Assembly
+from laurelcourse.net.assembly import Assembly, Host
 from laurelcourse.net.choices import Choices
 from laurelcourse.net.config import Config, ConfigError
 from laurelcourse.net.deployer import Deployer
@@ -24,9 +23,6 @@
 from laurelcourse.net.forms import Members, State
 from laurelcourse.operator.form import MANIFEST, METADATA, TARGET, Tuf
 
-if TYPE_CHECKING:
-    from laurelcourse.net.relay import Relay
-
 MEMORY_SHARE = 64   # of the relay's memory: hashes of blocks
 HASH_BYTES = 80     # about what one takes, its place in a tuple included
 
@@ -79,7 +75,8 @@
     logging.getLogger(name_of_library).setLevel(logging.ERROR)
 
 
-def assemble(relay: "Relay", front: Tuf, fronts: int) -> Assembly:
+def assemble(relay: Host, front: Tuf, fronts: int, folder: Path) -> Assembly:
+    """`folder`: where relative names of files start from."""
     scheduler, own = relay.scheduler, config(relay.config, front, fronts)
     counters = relay.counters.under(front.name)
     mirrors = decide_mirrors.Mirrors(decide_mirrors.Bounds(*front.rests[1:]))
@@ -123,7 +120,7 @@
     repositories = {}
     for place, one in enumerate(front.repositories):
         chance = Chance(relay.config.seed + place)
-        trust = _trust(relay.operator_folder / one.root, one.name, limits.metadata)
+        trust = _trust(folder / one.root, one.name, limits.metadata)
         repositories[one.name] = repository = Repository(
             one.name, one.metadata, trust, bounds, timeouts[METADATA], scheduler, found.lives, name, chance,
             counters, adopted)
--- a/laurelcourse/lab/command.py
+++ b/laurelcourse/lab/command.py
@@ -24,7 +24,7 @@
 
 
 def run(name: str, seed: int, seconds: float | None, as_json: bool, broken: str, calm: bool) -> None:
-    from laurelcourse.lab.broken import GUARDS
+    from laurelcourse.lab.guards import GUARDS
     if broken and broken not in GUARDS.get(name, {}):
         raise click.UsageError(f"--break takes one of: {', '.join(GUARDS.get(name, {}))}")
     if calm and name not in CALM:
--- /dev/null
+++ b/laurelcourse/lab/guards.py
@@ -0,0 +1,105 @@
+"""By lab and check, how the guard that the check watches is taken out of a relay: `lab/broken.py` runs it."""
+
+from collections.abc import Callable
+from typing import Any
+
+from laurelcourse import interface as face
+
+
+def _answer_twice() -> None:
+    from laurelcourse.fronts.postgres.front import Front
+    words = Front._words
+    Front._words = lambda self, end, told: words(self, end, told) * 2
+
+
+def _verdict(always: int) -> Callable[[], None]:
+    def take_out() -> None:
+        from laurelcourse.rules import Balancer
+        Balancer._verdict = lambda self, now, news: always if news.standing == face.ON_TRIAL else face.NO_VOTE
+    return take_out
+
+
+def _no_cap() -> None:
+    from laurelcourse.rules import Balancer
+    Balancer._exposure_room = lambda *_: True
+    Balancer._cold_room = lambda *_: True
+
+
+def _one_more_answer() -> None:
+    from laurelcourse.fronts.tuf.front import Front
+    give = Front._give
+
+    def twice(self: Any, client: Any, *told: Any) -> bool:  # noqa: ANN401
+        stays = give(self, client, *told)
+        client.conn.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        return stays
+    Front._give = twice
+
+
+def _no_hash() -> None:
+    from laurelcourse.fronts.tuf.transfer import Transfer
+    restart = Transfer._restart
+
+    def blind(self: Any) -> None:  # noqa: ANN401
+        self.known = None
+        restart(self)
+        self.hashes.clear()
+    Transfer._restart = blind
+
+
+def _no_floor() -> None:
+    from laurelcourse.fronts.tuf.trust import Trust
+    adopt = Trust.adopt
+
+    def forget(self: Any, view: Any) -> None:  # noqa: ANN401
+        adopt(self, view)
+        self.floor = None
+    Trust.adopt = forget
+
+
+def _no_drain() -> None:
+    from laurelcourse.fronts.tuf.listing import Listing
+    told = Listing.directory
+
+    def deaf(self: Any, how: str, entries: Any) -> None:  # noqa: ANN401
+        told(self, how, [one._replace(health=face.READY) if one.health == face.DRAINING else one
+                         for one in entries])
+    Listing.directory = deaf
+
+
+def _manifests_again() -> None:
+    from laurelcourse import settings
+    from laurelcourse.fronts.tuf import uptane, wiring
+    routes = wiring.routes
+    wiring.routes = lambda front: tuple(one._replace(repeat=settings.RETRIABLE) for one in routes(front))
+    uptane.Reports.take = lambda *_: (uptane.SEND, None)
+
+
+def _hold_back() -> None:
+    from laurelcourse.fronts.tuf.front import Front
+    say = Front._say
+
+    def late(self: Any, client: Any, head: Any, status: int, *more: Any) -> bool:  # noqa: ANN401
+        if status == 503:
+            route = "target" if "/targets/" in head.path else "metadata"
+            due = client.asked_at + self.timeouts[route] * 19 // 20
+            self.scheduler.sleep(max(due - self.scheduler.now(), 0))
+        return say(self, client, head, status, *more)
+    Front._say = late
+    answer = Front._answer
+
+    def noted(self: Any, client: Any, *told: Any) -> bool:  # noqa: ANN401
+        client.asked_at = self.scheduler.now()
+        return answer(self, client, *told)
+    Front._answer = noted
+
+
+GUARDS: dict[str, dict[str, Callable[[], Any]]] = {
+    "relay": {
+        "one_outcome_each": _answer_twice, "bad_build_released": _verdict(face.VOTE_ON),
+        "good_build_released": _verdict(face.VOTE_HOLD), "exposure_over_cap": _no_cap},
+    "tuf": {
+        "one_outcome_each": _one_more_answer, "wrong_bytes_accepted": _no_hash,
+        "stale_metadata_passed": _no_floor, "to_draining_after_grace": _no_drain,
+        "exposure_over_cap": _no_cap, "manifests_twice": _manifests_again, "answers_held_back": _hold_back},
+}
--- a/laurelcourse/net/assembly.py
+++ b/laurelcourse/net/assembly.py
@@ -3,7 +3,7 @@
 import logging
 import socket
 from collections.abc import Callable, Iterable
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from laurelcourse import interface as face
 from laurelcourse.net.choices import Choices
@@ -22,6 +22,15 @@
 log = logging.getLogger(__name__)
 
 
+class Host(NamedTuple):
+    """The process that fronts are made for; `closing` is called at its end."""
+
+    scheduler: Scheduler
+    config: Config
+    counters: Counters
+    closing: list[Callable[[], None]]
+
+
 class Front(Protocol):
     def serve(self, client: Client) -> None: ...
 
--- a/laurelcourse/net/relay.py
+++ b/laurelcourse/net/relay.py
@@ -6,13 +6,11 @@
 import signal
 import socket
 from collections.abc import Callable
-from pathlib import Path
-from typing import TYPE_CHECKING
 
 from laurelcourse import interface as face
 from laurelcourse.fronts.postgres.exchange import Exchange
 from laurelcourse.fronts.postgres.front import Front
-from laurelcourse.net.assembly import Assembly
+from laurelcourse.net.assembly import Assembly, Host
 from laurelcourse.net.config import Config, ConfigError
 from laurelcourse.net.counters import Counters
 from laurelcourse.net.deployer import Deployer
@@ -20,9 +18,6 @@
 from laurelcourse.net.relays import Relays
 from laurelcourse.net.scheduler import READ, Clock, Scheduler
 
-if TYPE_CHECKING:
-    from laurelcourse.operator.form import Operator
-
 log = logging.getLogger(__name__)
 HEARD = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1)
 MOVES = ("directory", "deployer")     # what a new configuration changes
@@ -31,18 +26,14 @@
 
 class Relay:
     def __init__(self, config: Config, reread: Callable[[], Config],
-                 operator: "Operator | None" = None) -> None:
+                 more: Callable[[Host], list[Assembly]] = lambda _: []) -> None:
+        """`more` makes the fronts beside the own; the plain relay has none, nor their libraries."""
         self.config, self.limits, self.counters, self.reread = config, config.limits, Counters(), reread
         self.scheduler = Scheduler(Clock(), lambda: self.counters.add("tasks_died"))
         self.over = self.stopping = False
         self.closing: list[Callable[[], None]] = []
-        self.operator_folder = Path(operator.path).parent if operator else Path()
         self.main = self._main(config)
-        self.fronts = [self.main]
-        if operator is not None and operator.fronts:
-            # The plain relay has none of the libraries that these need.
-            from laurelcourse.fronts.tuf import wiring
-            self.fronts += [wiring.assemble(self, one, len(operator.fronts)) for one in operator.fronts]
+        self.fronts = [self.main, *more(Host(self.scheduler, config, self.counters, self.closing))]
 
     def _main(self, config: Config) -> Assembly:
         """The platform's own front: PostgreSQL, directory, deployer, the other relays."""
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -7,7 +7,7 @@
 import pytest
 from conftest import ROOT
 
-from laurelcourse.lab.broken import GUARDS
+from laurelcourse.lab.guards import GUARDS
 
 SECONDS = {"relay": "37", "tuf": "24"}
 AT_ONCE = 5  # so that the machine can still keep time
