Budgets of the fleet: max-min division by demand, and the holder's side of a share

Relays need parts of one whole by what they can use, never more than it at any instant. divide.py fills by water filling with floors beside, a reserve, hysteresis, credit lost by idle shares; use.py holds a share as token bucket, sliding window or held count, and looks at the lease in each take.

A word of giving back binds until the books have answered it and a later look is told; without that the closed loop got stuck on it.

--- /dev/null
+++ b/tests/test_fleet_budgets.py
@@ -0,0 +1,291 @@
+"""Division by demand and the use of a share: rules by tables, all of it in a closed loop by true time."""
+
+import time
+from collections import deque
+from types import SimpleNamespace
+
+import pytest
+
+from laurelcourse.chance import Chance
+from laurelcourse.fleet.books.forms import COUNT, LEVEL, RATE, Budget
+from laurelcourse.fleet.budgets.divide import LEAST, MILLION, Asked, credited, divide, divided, fill
+from laurelcourse.fleet.budgets.use import BURST, SECOND, Use
+from laurelcourse.fleet.orders import Share
+
+BEAT, HOLDS, BINDS = SECOND // 2, 2 * SECOND, 2 * SECOND + 1
+RATES = Budget("tries", RATE, 1000, 4, 10, 0, 0)  # 960 are divided, 30 of them kept free
+
+
+def asked(*rows: tuple) -> tuple[Asked, ...]:
+    """Rows of demand beyond the floor, granted, wanted, part used."""
+    return tuple(Asked(session, 4 + row[0], *row[1:3], int(row[3] * MILLION) if row[3] >= 0 else -1, "s")
+                 for session, row in enumerate(rows, 1))
+
+
+@pytest.mark.parametrize("rows, others, credit, changes", [
+    ([(500, 0, 0, -1), (500, 0, 0, -1)], 0, {}, [(1, 465), (2, 465)]),        # all but the reserve, evenly
+    ([(2000, 930, 930, 1), (100, 0, 0, -1)], 0, {}, [(1, 830), (2, 30)]),     # a first share: the reserve
+    ([(2000, 930, 830, 1), (100, 30, 30, 1)], 0, {}, []),                     # no raise before a give-back,
+    ([(2000, 830, 830, 1), (100, 30, 30, 1)], 0, {}, [(2, 100)]),             # and then at once
+    ([(3000, 960, 500, 1), (3000, 0, 0, -1)], 0, {}, [(1, 465)]),             # what is asked back is not free
+    ([(900, 450, 450, 1), (900, 480, 480, 1)], 0, {}, []),                    # not worth moving
+    ([(900, 450, 450, 1), (900, 400, 400, 1)], 0, {}, [(1, 465), (2, 465)]),  # freed: worth it,
+    ([(900, 450, 450, 1), (900, 400, 400, 1)], 80, {}, []),                   # unless others may use it
+    ([(900, 0, 0, -1), (900, 0, 0, -1)], 2000, {}, []),
+    ([(100, 500, 500, .2), (10, 5, 5, 1)], 0, {}, [(1, 125), (2, 12)]),       # far too much; headroom
+    ([(400, 500, 500, .8), (10, 12, 12, .8)], 0, {}, []),                     # a little too much
+    ([(99, 310, 310, .3), (99, 310, 310, .3), (900, 310, 310, 1)], 0, {}, [(1, 99), (2, 99)]),
+    ([(300, 350, 350, .8), (300, 330, 330, .9), (900, 250, 250, 1)], 0, {}, [(1, 300), (2, 300)]),
+    ([(9000, 100, 100, 1), (9000, 100, 100, 0)], 0, {2: LEAST}, [(1, 830), (2, 29)]),  # no idle part to liars
+    ([(9000, 100, 100, .5), (9000, 100, 100, .5)], 0, {1: LEAST, 2: LEAST}, [(1, 75), (2, 75)])])
+def test_changes_worth_making(rows: list, others: int, credit: dict, changes: list) -> None:
+    assert list(divide(RATES, asked(*rows), others, credit)) == changes
+
+
+@pytest.mark.parametrize("before, row, after", [
+    (None, (50, 0, 0, -1), MILLION), (MILLION, (50, 50, 50, .4), MILLION // 2),
+    (MILLION, (50, 50, 50, .5), MILLION), (LEAST, (50, 50, 50, 0), LEAST),
+    (LEAST, (50, 50, 50, .8), LEAST * 2),
+    (MILLION, (0, 50, 50, 0), MILLION), (LEAST, (50, 50, 50, -1), LEAST), (MILLION, (1, 1, 1, .1), MILLION)])
+def test_credit_is_lost_by_idle_shares_and_won_by_use(before: int | None, row: tuple, after: int) -> None:
+    assert credited(RATES, asked(row), {9: 5} if before is None else {1: before}) == {1: after}
+
+
+def test_filling_is_exact_and_no_change_breaks_the_whole() -> None:
+    chance = Chance(7)
+    for _ in range(400):
+        wants = [chance.below(1 << chance.below(12)) for _ in range(chance.below(40))]
+        amount = chance.below(20_000) - 100
+        given = fill(amount, wants)
+        assert sum(given) == min(max(0, amount), sum(wants))
+        short = [part for part, want in zip(given, wants, strict=True) if part < want]
+        assert all(0 <= part <= want for part, want in zip(given, wants, strict=True))
+        assert not short or max(given) <= min(short) + 1
+        rows = [(chance.below(900), part, chance.below(part + 1), chance.below(101) / 100) for part in given]
+        others, credit = chance.below(900), {one: LEAST << chance.below(5) for one in range(1, 20, 3)}
+        changes = dict(divide(RATES, asked(*rows), others, credit))
+        room = max(divided(RATES) - others, sum(given))
+        assert sum(max(part, changes.get(one, 0)) for one, part in enumerate(given, 1)) <= room
+        assert all(share >= 0 and share != rows[one - 1][2] for one, share in changes.items())
+
+
+def beats(budget: Budget, held: dict, demands: dict, used: dict, credit: dict, most: int) -> int:
+    """Beats with give-backs in between, `held` and `credit` changed on the way; until nothing is proposed."""
+    for beat in range(most):
+        rows = [(demand, held[one], held[one],
+                 min(1, used.get(one, demand) / held[one]) if held[one] else -1)
+                for one, demand in demands.items()]
+        told = tuple(ask._replace(session=one) for one, ask in zip(demands, asked(*rows), strict=True))
+        credit.update(credited(budget, told, credit))
+        if not (changes := divide(budget, told, 0, credit)):
+            return beat
+        held.update(changes)
+        assert sum(held.values()) <= divided(budget)
+    return most
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_shares_settle_after_a_join_and_a_leave_within_three_beats(seed: int) -> None:
+    chance, budget = Chance(seed), Budget("b", RATE, 20_000 + seed, 4, 40, 0, 0)
+    demands = {one: chance.below(3000) + 1 for one in range(30)}
+    held, credit = dict.fromkeys(demands, 0), {}
+    assert beats(budget, held, demands, {}, credit, 40) < 40
+    for change in ("join", "leave"):
+        if change == "join":
+            demands[99], held[99] = 2500, 0
+        else:
+            left = max(held, key=lambda one: held[one])
+            del demands[left], held[left]
+        beats(budget, held, demands, {}, credit, 3)
+        ideal = fill(divided(budget) * 31 // 32, list(demands.values()))
+        assert all(held[one] * 8 >= best * 7 - 8 for one, best in zip(demands, ideal, strict=True))
+        assert beats(budget, held, demands, {}, credit, 12) < 12
+
+
+@pytest.mark.parametrize("others, claims, uses, most", [
+    (500, 9000, 0, 20), (500, 9000, 30, 60), (20, 9000, 0, 20), (20, 9000, 300, 600), (500, 9000, 9000, 320)])
+def test_a_liar_ends_with_no_more_than_it_proves(others: int, claims: int, uses: int, most: int) -> None:
+    budget = Budget("b", RATE, 3300, 4, 25, 0, 0)
+    demands = {**dict.fromkeys(range(10), others), 10: claims}
+    held = dict.fromkeys(demands, 0)
+    assert beats(budget, held, demands, {10: uses}, {}, 40) < 40 and min(uses, 200) <= held[10] <= most
+
+
+def test_a_thousand_relays_are_divided_in_time() -> None:
+    chance, budget = Chance(3), Budget("b", RATE, 500_000, 10, 1000, 0, 0)
+    told = asked(*((chance.below(2000), 400, 300 + chance.below(101), chance.share()) for _ in range(1000)))
+    began = time.perf_counter()
+    assert divide(budget, told, 0, credited(budget, told, {}))
+    assert time.perf_counter() - began < 0.5  # measured: about a hundredth of it
+
+
+S = SECOND
+TAKEN = (Budget("b", RATE, 100, 2, 5, 0, 0), Budget("b", COUNT, 100, 2, 5, S, 0),
+         Budget("b", LEVEL, 100, 2, 5, 0, S))
+
+
+@pytest.mark.parametrize("kind, doings", [
+    # t: told granted, wanted, until; u: out of so many uses, so many succeed; x: the same, lease not usable
+    (0, [(0, "u", 1, 0), (S // 2, "u", 2, 1), (9 * S, "u", 5, 1), (9 * S, "t", 8, 8, 12 * S),
+         (9 * S, "u", 5, 0),
+         (10 * S, "u", 5, 2), (11 * S, "t", 80, 80, 12 * S), (12 * S - 1, "u", 90, 20),
+         (12 * S - 1, "t", 80, 80, 15 * S), (14 * S, "t", 80, 2, 15 * S), (14 * S, "keeps", 2),
+         (14 * S, "u", 5, 1), (14 * S, "t", 80, 80, 16 * S), (15 * S, "keeps", None), (15 * S, "u", 20, 1),
+         (15 * S, "given", 17 * S), (15 * S, "t", 80, 80, 17 * S - 1), (16 * S, "u", 20, 1),
+         (16 * S, "t", 80, 80, 17 * S), (16 * S, "t", 2, 2, 17 * S - 1), (17 * S - 1, "u", 40, 20),
+         (19 * S, "u", 40, 1), (19 * S, "t", 80, 80, 25 * S), (20 * S, "x", 40, 1), (20 * S, "u", 9, 0)]),
+    (1, [(0, "u", 5, 2), (0, "t", 5, 5, 9 * S), (1, "u", 9, 5), (S, "u", 9, 2), (2 * S, "u", 9, 7),
+         (2 * S + 1, "t", 5, 3, 9 * S), (2 * S + 1, "keeps", 3), (3 * S - 1, "u", 9, 0), (3 * S, "u", 9, 5),
+         (4 * S, "x", 9, 2), (5 * S, "t", 5, 5, 9 * S), (5 * S, "u", 9, 5), (6 * S, "given", 9 * S),
+         (6 * S, "t", 5, 5, 9 * S), (6 * S, "u", 9, 7), (9 * S, "u", 9, 2), (9 * S, "keeps", None)]),
+    (2, [(0, "u", 5, 2), (0, "t", 5, 5, 9 * S), (1, "u", 9, 5), (S, "t", 5, 1, 9 * S), (S, "keeps", None),
+         (S, "back", 1), (S, "keeps", 4), (S, "u", 5, 0), (S, "t", 5, 5, 9 * S), (S, "u", 5, 0),
+         (S, "given", 9 * S), (S, "t", 4, 4, 9 * S), (S, "back", 3), (S, "u", 9, 3), (S, "t", None, 0, 9 * S),
+         (S, "back", 4), (S, "u", 5, 0), (S, "back", 2), (S, "u", 5, 2), (S, "t", 9, 9, 9 * S),
+         (9 * S, "t", 9, 1, 9 * S), (9 * S, "keeps", None), (9 * S, "u", 5, 0)])])
+def test_what_may_be_taken(kind: int, doings: list) -> None:
+    use = Use(TAKEN[kind])
+    for place, (now, what, *told) in enumerate(doings):
+        if what == "t":
+            use.told(now, None if told[0] is None else Share("b", *told[:2]), told[2])
+        elif what == "keeps":
+            assert use.keeps(now) == told[0], place
+        elif what == "given":
+            use.given(told[0])
+        elif what == "back":
+            use.back(now, told[0])
+        else:
+            assert sum(use.take(now, usable=what == "u") for _ in range(told[0])) == told[1], place
+
+
+@pytest.mark.parametrize("kind, looks", [
+    # when, demand, thousandths of the share used: from 4 to 6 s 40 are asked a second, of which 12 fit
+    (0, [(4, 0, -1), (5, 40, 1000), (6, 40, 1000), (6.25, 0, 837), (7.1, 0, 336), (9, 0, 0)]),
+    (1, [(4, 0, -1), (5, 40, 1000), (6, 40, 1000), (6.25, 0, 491), (7.1, 0, 239), (9, 0, 0)]),
+    (2, [(4, 0, -1), (5, 40, 1000), (6, 52, 1000), (7.1, 12, 1000), (9, 12, 1000)])])
+def test_demand_is_what_was_taken_and_refused_lately(kind: int, looks: list) -> None:
+    use, seen = Use(TAKEN[kind], closed_until=4 * S), []
+    assert not use.take(S, usable=True)
+    use.told(4 * S, Share("b", 10, 10), 20 * S)
+    for turn in range(400):
+        at = 4 * S + turn * S // 40
+        if any(at == int(now * S) for now, _, _ in looks):
+            seen.append((at / S, use.demand(at), use.used_of(at) // 1000))
+        if turn < 80:
+            use.take(at, usable=True)
+    assert seen == looks
+    with pytest.raises(ValueError):
+        use.back(14 * S, 99)
+
+
+class Fleet:
+    """Relays, each with a clock of its own, and books of the simplest kind; `uses` are seen in true time."""
+
+    def __init__(self, budget: Budget, relays: int, seed: int) -> None:
+        self.budget, self.chance = budget, Chance(seed)
+        self.now = self.sessions = self.proposed = 0
+        self.uses, self.held, self.credit, self.freeing = [], {}, {}, []
+        self.relays = [SimpleNamespace(use=Use(budget), clock=self.chance.below(99 * S), stopped=0, renewed=0,
+                                       session=-1, told=None, open=[], loose=0) for _ in range(relays)]
+
+    def run(self, seconds: int, load: int, shift: int, divides: bool = True, stops: int = 0) -> None:
+        weights = [1 / (place + 1) for place in range(len(self.relays))]
+        for step in range(seconds * 100):
+            self.now = step * S // 100
+            if step % (shift * 100) == 0:
+                weights.sort(key=lambda _: self.chance.share())
+            for place, (one, weight) in enumerate(zip(self.relays, weights, strict=True)):
+                if stops and self.chance.below(stops) == 0:
+                    one.stopped = self.now + self.chance.below(12 * S)
+                if self.now >= one.stopped:
+                    self.works(one, load * weight / sum(weights) / 100)
+                    if divides and (step + place) % 50 == 0:
+                        self.renews(one)
+            if divides and step % 50 == 49:
+                self.leads()
+
+    def works(self, one: SimpleNamespace, mean: float) -> None:
+        while one.open and one.open[0][0] <= self.now:
+            one.open.pop(0)
+            one.loose += 1
+            self.uses.append((self.now, -1))
+        one.use.back(self.now + one.clock, one.loose)
+        one.loose = 0
+        for _ in range(int(mean * 2 * self.chance.share() + self.chance.share())):
+            if one.use.take(self.now + one.clock, usable=True):
+                self.uses.append((self.now, 1))
+                one.open += [(self.now + 2 * S, one.session)] if self.budget.kind == LEVEL else []
+
+    def renews(self, one: SimpleNamespace) -> None:
+        now = self.now + one.clock
+        if one.session not in self.held:
+            one.use.told(now, None, 0)
+            self.sessions += 1
+            one.session, self.held[self.sessions] = self.sessions, [0, 0]
+        granted, wanted = self.held[one.session]
+        one.renewed, one.told = self.now, (one.use.demand(now), one.use.used_of(now))
+        one.use.told(now, Share("b", granted, wanted), now + HOLDS)
+        if (keeps := one.use.keeps(now)) is not None:
+            self.freeing.append((self.now + self.budget.window, granted - keeps, -1))
+            self.held[one.session] = [keeps, min(wanted, keeps)]
+            one.use.given(now + HOLDS)
+
+    def leads(self) -> None:
+        for one in self.relays:
+            if one.session in self.held and self.now >= one.renewed + BINDS:
+                after = self.budget.window + self.budget.freed_after
+                self.freeing.append((self.now + after, self.held.pop(one.session)[0], one.session))
+            gone = [session for at, _, session in self.freeing if at <= self.now]
+            shut = [opened for opened in one.open if opened[1] in gone]  # the unit itself lets go
+            one.open, one.loose = [opened for opened in one.open if opened not in shut], one.loose + len(shut)
+            self.uses += [(self.now, -1)] * len(shut)
+        self.freeing = [freed for freed in self.freeing if freed[0] > self.now]
+        told = tuple(Asked(one.session, one.told[0], *self.held[one.session], one.told[1], "s")
+                     for one in self.relays if one.session in self.held)
+        others = sum(amount for _, amount, _ in self.freeing)
+        self.credit = credited(self.budget, told, self.credit)
+        changes = divide(self.budget, told, others, self.credit)
+        self.proposed += bool(changes)
+        for session, share in changes:
+            self.held[session] = [max(share, self.held[session][0]), share]
+        assert sum(granted for granted, _ in self.held.values()) + others <= divided(self.budget)
+
+
+def beyond_whole(budget: Budget, uses: list, relays: int) -> int:
+    """By how much what was used ever passed what it may, over all relays and whatever stretch of time."""
+    worst = level = last = 0
+    window = deque()
+    for at, amount in uses:
+        if budget.kind == RATE:
+            # Full at the stated burst: a bucket that leaks at the whole holds what any stretch had beyond it.
+            level, last = max(0, level - budget.whole * (at - last)) + amount * MILLION, at
+            worst = max(worst, level - (budget.whole // BURST + relays) * MILLION)
+        else:
+            level += amount
+            window.append((at, amount))
+            while budget.kind == COUNT and window[0][0] <= at - budget.window:
+                level -= window.popleft()[1]
+            worst = max(worst, level - budget.whole)
+    return worst
+
+
+@pytest.mark.parametrize("budget", [
+    Budget("b", RATE, 400, 5, 10, 0, 0), Budget("b", COUNT, 400, 5, 10, 3 * S, 0),
+    Budget("b", LEVEL, 400, 5, 10, 0, 3 * S)])
+@pytest.mark.parametrize("seed", range(3))
+def test_never_more_than_the_whole_while_shares_change_hands(budget: Budget, seed: int) -> None:
+    fleet = Fleet(budget, 10, seed)
+    fleet.run(60, 700, 5, stops=1500)
+    assert fleet.sessions > 15 and beyond_whole(budget, fleet.uses, 10) <= 0
+    assert sum(amount > 0 for _, amount in fleet.uses) > 60 * 40
+
+
+def test_skewed_demand_is_served_better_than_by_equal_parts() -> None:
+    used = {}
+    for divides, floor in ((True, 10), (False, 100)):
+        fleet = Fleet(Budget("b", RATE, 3000, floor, 30, 0, 0), 30, 1)
+        fleet.run(40, 3600, 10, divides)
+        used[divides] = sum(at >= 5 * S for at, _ in fleet.uses) / (35 * 3000)
+        assert beyond_whole(fleet.budget, fleet.uses, 30) <= 0
+        print(f"used_of_whole={used[divides]:.3f} proposed={fleet.proposed} of 80 beats")
+    assert used[True] > 0.85 and used[True] > used[False] + 0.2
