--- a/laurelcourse/fleet/budgets/use.py
+++ b/laurelcourse/fleet/budgets/use.py
@@ -77,15 +77,14 @@
         self.lately = Lately(budget.window if budget.kind == COUNT else SECOND)
 
     def told(self, now: int, share: Share | None, until: int) -> None:
-        """The share that a renewal brought, good until then. None: this relay holds none. What was asked
-        earlier than what is known (an earlier `until`) is passed over."""
+        """What a renewal brought, good until then: a share, or None if it named none. A renewal asked earlier
+        than one that is known (an earlier `until`) is passed over. None and 0: the session is over."""
         self._advance(now)
-        if share is not None and until < self.newest:
+        if until and until < self.newest:
             return
         self.granted, self.wanted = (share.granted, share.wanted) if share is not None else (0, 0)
-        if share is not None:
-            self.until = self.newest = until
-        if share is None or (self.settled and until >= self.settled):
+        self.until, self.newest = until, max(until, self.newest)
+        if not until or (self.settled and until >= self.settled):
             self.word, self.settled = None, 0
         self._spill()
 
--- a/tests/test_fleet_budgets.py
+++ b/tests/test_fleet_budgets.py
@@ -139,10 +139,10 @@
          (4 * S, "x", 9, 2), (5 * S, "t", 5, 5, 9 * S), (5 * S, "u", 9, 5), (6 * S, "given", 9 * S),
          (6 * S, "t", 5, 5, 9 * S), (6 * S, "u", 9, 7), (9 * S, "u", 9, 2), (9 * S, "keeps", None)]),
     (2, [(0, "u", 5, 2), (0, "t", 5, 5, 9 * S), (1, "u", 9, 5), (S, "t", 5, 1, 9 * S), (S, "keeps", None),
-         (S, "back", 1), (S, "keeps", 4), (S, "u", 5, 0), (S, "t", 5, 5, 9 * S), (S, "u", 5, 0),
-         (S, "given", 9 * S), (S, "t", 4, 4, 9 * S), (S, "back", 3), (S, "u", 9, 3), (S, "t", None, 0, 9 * S),
-         (S, "back", 4), (S, "u", 5, 0), (S, "back", 2), (S, "u", 5, 2), (S, "t", 9, 9, 9 * S),
-         (9 * S, "t", 9, 1, 9 * S), (9 * S, "keeps", None), (9 * S, "u", 5, 0)])])
+         (S, "back", 1), (S, "keeps", 4), (S, "u", 5, 0), (S, "t", None, 0, 8 * S), (S, "t", 5, 5, 9 * S),
+         (S, "u", 5, 0), (S, "given", 9 * S), (S, "t", 4, 4, 9 * S), (S, "back", 3), (S, "u", 9, 3),
+         (S, "t", None, 0, 0), (S, "back", 4), (S, "u", 5, 0), (S, "back", 2), (S, "u", 5, 2),
+         (S, "t", 9, 9, 9 * S), (9 * S, "t", 9, 1, 9 * S), (9 * S, "keeps", None), (9 * S, "u", 5, 0)])])
 def test_what_may_be_taken(kind: int, doings: list) -> None:
     use = Use(TAKEN[kind])
     for place, (now, what, *told) in enumerate(doings):
