--- a/laurelcourse/fleet/budgets/use.py
+++ b/laurelcourse/fleet/budgets/use.py
@@ -52,6 +52,17 @@
         self.last = max(self.last, number)
         return self.slices[-1]
 
+    def offer(self, since: int, to: int, share: int) -> None:
+        """Between the two there was this share; `to` lies in the latest slice."""
+        start = self.last * self.length
+        for one in reversed(self.slices):
+            part = to - max(since, start)
+            one.span += part
+            one.offered += share * part
+            to, start = start, start - self.length
+            if to <= since:
+                break
+
     def unit(self) -> list[Slice]:
         return list(self.slices)[-SLICES - 1:]
 
@@ -86,7 +97,6 @@
         self.until, self.newest = until, max(until, self.newest)
         if not until or (self.settled and until >= self.settled):
             self.word, self.settled = None, 0
-        self._spill()
 
     def take(self, now: int, amount: int = 1, *, usable: bool) -> bool:
         """Whether so much may be used now; if so it counts as used. `usable`: what `Session.usable` says at
@@ -192,7 +202,6 @@
             self.at = now  # the time before is nobody's: a bucket begins empty
         if self.at < self.until <= now:
             self._pass(self.until)
-            self._spill()
         self._pass(max(now, self.at))
         while self.window and self.window[0][0] <= self.at - self.budget.window:
             self.counted -= self.window.popleft()[1]
@@ -202,16 +211,11 @@
         allowed, gone = self.allowed(self.at), to - self.at
         if self.budget.kind == RATE:
             self.bucket = min(self._holds(allowed), self.bucket + allowed * gone)
-        lately = self.lately.at(to, self.held)
-        seen = min(gone, 2 * SLICES * self.lately.length)
-        if allowed > self.budget.floor:
-            lately.span += seen
-            lately.offered += (allowed - self.budget.floor) * seen
+        self.lately.at(to, self.held)
+        if allowed > self.budget.floor and gone:
+            self.lately.offer(self.at, to, allowed - self.budget.floor)
         self.at = to
 
-    def _spill(self) -> None:
-        self.bucket = min(self.bucket, self._holds(self.allowed(self.at)))
-
     @staticmethod
     def _holds(allowed: int) -> int:
         return max(MILLION, allowed * MILLION // BURST) if allowed else 0
