A stop is a machine of states; an older list takes back no drain

Change: net/stopping.py, the same waits as before; net/lists.py, of an older list each unit's health is the worse of the two, until a directory has been behind for six seconds and is taken to number anew (Directory._watch took any). Measured: tests of net, rules and stop pass; without lists.take the drained unit is asked again.

--- a/laurelcourse/net/directory.py
+++ b/laurelcourse/net/directory.py
@@ -9,6 +9,7 @@
 from laurelcourse.net.counters import Counters
 from laurelcourse.net.forms import Address, FormError, Members, decoded, members
 from laurelcourse.net.http import HttpError
+from laurelcourse.net.lists import Lists
 from laurelcourse.net.pool import Pool
 from laurelcourse.net.scheduler import Mailbox, Scheduler
 
@@ -22,6 +23,7 @@
         self.choices, self.pool, self.counters = choices, pool, counters
         self.must_ask = config.settings.must_ask
         self.revision = config.known.revision if config.known.entries else None
+        self.lists = Lists(config.known, config.limits.watch + config.limits.watch_grace)
         self.asked, self.moved = Mailbox(scheduler), Mailbox(scheduler)
         self.conn: Connection | None = None
         self.pauses = Pauses(config.limits, config.seed, "directory")
@@ -66,6 +68,7 @@
             return self.pauses.failed(error)
         self.pauses.worked()
         self.revision = found.revision
+        found = self.lists.take(self.scheduler.now(), found)
         if found.entries or found.whole:
             self.pool.listed(found.entries, found.whole)
             how = face.WHOLE if found.whole else face.CHANGES
--- a/laurelcourse/net/relay.py
+++ b/laurelcourse/net/relay.py
@@ -15,8 +15,10 @@
 from laurelcourse.net.counters import Counters
 from laurelcourse.net.deployer import Deployer
 from laurelcourse.net.directory import Directory
+from laurelcourse.net.doors import Doors
 from laurelcourse.net.relays import Relays
 from laurelcourse.net.scheduler import READ, Clock, Scheduler
+from laurelcourse.net.stopping import LEAVING, OVER, Stop
 
 log = logging.getLogger(__name__)
 HEARD = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1)
@@ -30,7 +32,7 @@
         """`more` makes the fronts beside the own; the plain relay has none, nor their libraries."""
         self.config, self.limits, self.counters, self.reread = config, config.limits, Counters(), reread
         self.scheduler = Scheduler(Clock(), lambda: self.counters.add("tasks_died"))
-        self.over = self.stopping = False
+        self.over, self.stopping = False, Stop(self.limits.stop_quiet, self.limits.stop_accept)
         self.closing: list[Callable[[], None]] = []
         self.main = self._main(config)
         self.fronts = [self.main, *more(Host(self.scheduler, config, self.counters, self.closing))]
@@ -85,8 +87,7 @@
                     log.info("counters", extra=self.counters.fields())
                 elif number == signal.SIGHUP:
                     self.scheduler.spawn(self._reload)
-                elif number in (signal.SIGTERM, signal.SIGINT) and not self.stopping:
-                    self.stopping = True
+                elif number in (signal.SIGTERM, signal.SIGINT) and self.stopping.begin(self.scheduler.now()):
                     self.scheduler.spawn(self._stop)
 
     def _reload(self) -> None:
@@ -110,15 +111,16 @@
         """Accepts while connections still come, closes each between reqs, answers what was taken."""
         doors = [front.doors for front in self.fronts]
         log.info("stopping", extra={"clients": sum(len(one.open) for one in doors)})
-        began = self.scheduler.now()
-        while self.scheduler.now() - began < self.limits.stop_accept and (
-                self.scheduler.now() - max(began, *(one.accepted_at for one in doors))
-                < self.limits.stop_quiet):
+        while self._stops(doors) == LEAVING:
             self.scheduler.sleep(self.limits.stop_quiet // 8)
         for one in doors:
             one.close_listener()
         for client in [client for one in doors for client in one.open]:
             client.stop()
-        while any(one.open for one in doors):
+        while self._stops(doors) != OVER:
             self.scheduler.sleep(self.limits.stop_quiet // 16)
         self.over = True
+
+    def _stops(self, doors: list[Doors]) -> str:
+        return self.stopping.step(self.scheduler.now(), max(one.accepted_at for one in doors),
+                                  sum(len(one.open) for one in doors))
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -13,10 +13,12 @@
 from laurelcourse.net import forms, http
 from laurelcourse.net.counters import Counters
 from laurelcourse.net.limits import limits
+from laurelcourse.net.lists import Lists
 from laurelcourse.net.pool import Pool
 from laurelcourse.net.req import GONE, Lives
 from laurelcourse.net.rests import Rests
 from laurelcourse.net.scheduler import IO, LATE, MAIL, READ, SHUT, Clock, Mailbox, Scheduler
+from laurelcourse.net.stopping import DRAINING, LEAVING, OVER, SERVING, Stop
 from laurelcourse.net.tries import OUTCOME, Tries
 from laurelcourse.settings import Tree
 from laurelcourse.standins.base import STAND_IN
@@ -331,3 +333,60 @@
     stand.close()
     assert found == [(7, face.OK), face.OK] and len(stand.conns) == connections
     assert stand.queries[0] == "SHOW gauges" and len(stand.queries) == 2
+
+
+@pytest.mark.parametrize("steps", [
+    [(0, 0, 3, SERVING)],
+    # Without new connections the door closes after the quiet; after the most, however many come.
+    [(100, None, 0, LEAVING), (399, 0, 3, LEAVING), (400, 0, 3, DRAINING)],
+    [(100, None, 0, LEAVING), (400, 350, 3, LEAVING), (649, 350, 3, LEAVING), (650, 350, 3, DRAINING)],
+    [(100, None, 0, LEAVING), (699, 690, 3, LEAVING), (700, 699, 3, DRAINING), (9000, 699, 1, DRAINING),
+     (9001, 699, 0, OVER), (9002, 699, 0, OVER)],
+    # An old connection does not shorten the leaving; a second signal begins nothing anew.
+    [(100, None, 0, LEAVING), (300, None, 0, LEAVING), (400, 0, 0, DRAINING), (401, 0, 0, OVER)]])
+def test_a_stop_goes_through_its_states(steps: list[tuple[int, int | None, int, str]]) -> None:
+    """Steps as (time, last connection or None for a signal, open clients, state); quiet 300, most 600."""
+    stop, signals = Stop(300, 600), 0
+    for now, accepted, clients, state in steps:
+        if accepted is None:
+            assert stop.begin(now) is (signals == 0)
+            signals += 1
+        else:
+            stop.step(now, accepted, clients)
+        assert stop.state == state
+
+
+def told(revision: int, whole: bool = True, since: int = 0, **phases: str) -> forms.Members:
+    entries = [face.Listed(int(unit[1:]), "a", 0, 1, health, 1.0, since) for unit, health in phases.items()]
+    return forms.Members(revision, whole, [(one, ("h", 1)) for one in entries])
+
+
+R, D, G = face.READY, face.DRAINING, face.GONE
+
+
+@pytest.mark.parametrize("lists, found", [
+    ([told(5, u1=D, u2=R)], {1: D, 2: R}),
+    ([told(5, u1=D), told(5, u1=D)], {1: D}),                            # repeats
+    ([told(5, u1=D, u2=R), told(6, u2=R)], {2: R}),                      # shrinks: handed on as it is
+    ([told(5, u1=D, u2=R), told(4, u1=R, u2=R)], {1: D, 2: R}),          # older: no drain is taken back
+    ([told(5, False, u1=G), told(4, u1=R, u2=R)], {1: G, 2: R}),
+    ([told(5, u1=D), told(4, since=9, u1=R)], {1: R}),                   # but a new start is a new life
+    ([told(5, u1=R), told(4, u1=D)], {1: D}),                            # and what is worse counts at once
+    ([told(5, u1=D), told(4, u1=R), told(6, u1=R)], {1: R}),             # caught up
+    ([told(5, u1=D), *[told(4, u1=R)] * 6], {1: D}),                     # behind for less than the patience
+    ([told(5, u1=D), *[told(4, u1=R)] * 7], {1: R}),                     # it numbers anew
+    ([told(5, u1=D), told(4, u1=R), told(5, u1=D), *[told(4, u1=R)] * 6], {1: D})])
+def test_an_older_list_takes_back_no_drain(lists: list[forms.Members], found: dict[int, str]) -> None:
+    """Lists come one a second; the patience is six."""
+    one, now = Lists(told(1, u1=R, u2=R), 6_000_000), 0
+    for news in lists:
+        taken = one.take(now, news)
+        now += 1_000_000
+    assert {entry.unit: entry.health for entry, _ in taken.entries} == found
+
+
+def test_units_that_have_gone_are_forgotten() -> None:
+    one = Lists(told(1, u1=R), 6_000_000)
+    for unit in range(2000):
+        one.take(0, told(2 + unit, False, **{f"u{unit}": G}))
+    assert len(one.health) < 200
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -9,6 +9,7 @@
 import struct
 import subprocess
 import sys
+import threading
 import time
 from collections.abc import Callable, Iterator
 from pathlib import Path
@@ -325,6 +326,51 @@
     assert "reqs.once.completed=2" in served.log.read_text().splitlines()[-1]
 
 
+def test_clients_that_go_on_asking_through_a_stop_lose_no_req(serve: Callable[..., Served]) -> None:
+    """After SIGTERM they send on every connection that stays open: each req is answered, or its connection
+    closed without a byte for it, between reqs, so that it may be sent again elsewhere."""
+    served, ends = serve(modes="slow0.01"), []
+
+    def go_on(client: PgClient) -> None:
+        told = [client.ask(sql("once"))]
+        while told[-1][0]:
+            told.append(client.ask(sql("once")))
+        ends.append([one[:2] for one in told])
+    threads = [threading.Thread(target=go_on, args=(served.client(),)) for _ in range(8)]
+    for thread in threads:
+        thread.start()
+    until(lambda: len(served.queries()) > 80)
+    served.process.send_signal(signal.SIGTERM)
+    until(lambda: "msg=stopping" in served.log.read_text())
+    leaving, asked = served.client(pg(b"Q", b"\0")), len(served.queries())
+    assert leaving.answer()[0] == "IZ"  # still ready for what the front sends on
+    until(lambda: len(served.queries()) > asked + 8)
+    assert served.process.wait(5) == 0
+    for thread in threads:
+        thread.join(5)
+    assert len(ends) == 8 and all(set(told[:-1]) == {COMPLETED} and told[-1] == ("", "") for told in ends)
+    with pytest.raises(ConnectionRefusedError):
+        served.client()
+    assert sum(len(told) - 1 for told in ends) == len(served.queries())
+
+
+def test_an_older_list_at_a_new_address_takes_back_no_drain(serve: Callable[..., Served]) -> None:
+    served = serve(units=2)
+    client, (first, second) = served.client(), served.units
+    older, entries = DirectoryStand(), served.directory.whole()["members"]
+    older.entries = {one["id"]: dict(one) for one in entries}
+    served.directory.put("s-0", first.at, phase="leaving")
+    served.directory.revision += 10
+    until(lambda: served.count("directory_calls") >= 2 and client.ask(sql())[:2] == COMPLETED)
+    before = len(first.queries)
+    served.path.write_text(json.dumps(served.config | {"discovery": older.at}))
+    served.process.send_signal(signal.SIGHUP)
+    until(lambda: older.calls >= 2)
+    for _ in range(40):
+        assert client.ask(sql())[:2] == COMPLETED
+    assert len(first.queries) == before and len(second.queries) >= 40
+
+
 def test_no_descriptors_left_is_met_without_a_spin(serve: Callable[..., Served]) -> None:
     served = serve(files=24)
     first = served.client()
