--- a/laurelcourse/cli.py
+++ b/laurelcourse/cli.py
@@ -42,13 +42,16 @@
         sys.exit(2)
 
 
-def fronts(operator: "Operator | None", host: Host) -> list[Assembly]:
-    """The fronts that the operators' settings name."""
+def more(operator: "Operator | None", host: Host) -> list[Assembly]:
+    """What the operators' settings name beside the platform's own front: further fronts, a fleet's books. The
+    plain relay has none of the libraries that these need."""
+    folder = Path(operator.path).parent if operator else Path()
+    if operator is not None and operator.fleet is not None:
+        from laurelcourse.fleet import wiring as fleet
+        fleet.join(host, operator.fleet, folder, host.config.settings.zone)
     if operator is None or not operator.fronts:
         return []
-    # The plain relay has none of the libraries that these need.
     from laurelcourse.fronts.tuf import wiring
-    folder = Path(operator.path).parent
     return [wiring.assemble(host, one, len(operator.fronts), folder) for one in operator.fronts]
 
 
@@ -68,7 +71,7 @@
     settings = read_operator(operator)
     log.start(log_level)
     try:
-        Relay(read_config, lambda: configuration.read(path), lambda host: fronts(settings, host)).run()
+        Relay(read_config, lambda: configuration.read(path), lambda host: more(settings, host)).run()
     except configuration.ConfigError as error:
         click.echo(error, err=True)
         sys.exit(2)
--- a/laurelcourse/net/assembly.py
+++ b/laurelcourse/net/assembly.py
@@ -23,12 +23,14 @@
 
 
 class Host(NamedTuple):
-    """The process that fronts are made for; `closing` is called at its end."""
+    """The process that fronts and a fleet's part are made for: `works` are loops that it keeps running,
+    `closing` is called at its end, once the scheduler has stopped."""
 
     scheduler: Scheduler
     config: Config
     counters: Counters
     closing: list[Callable[[], None]]
+    works: list[Callable[[], None]]
 
 
 class Front(Protocol):
--- a/laurelcourse/net/relay.py
+++ b/laurelcourse/net/relay.py
@@ -34,8 +34,9 @@
         self.scheduler = Scheduler(Clock(), lambda: self.counters.add("tasks_died"))
         self.over, self.stopping = False, Stop(self.limits.stop_quiet, self.limits.stop_accept)
         self.closing: list[Callable[[], None]] = []
+        self.works: list[Callable[[], None]] = []
         self.main = self._main(config)
-        self.fronts = [self.main, *more(Host(self.scheduler, config, self.counters, self.closing))]
+        self.fronts = [self.main, *more(Host(self.scheduler, config, self.counters, self.closing, self.works))]
 
     def _main(self, config: Config) -> Assembly:
         """The platform's own front: PostgreSQL, directory, deployer, the other relays."""
@@ -63,6 +64,8 @@
             self.scheduler.spawn(self._keep, self.relays.hear)
         for front in self.fronts:
             front.start(front.config.known, front.config.news, self._keep)
+        for work in self.works:
+            self.scheduler.spawn(self._keep, work)
         self.scheduler.spawn(self._signals, wakeup)
         # Reqs leave no cycles behind: looking for them often costs CPU that reqs need.
         gc.freeze()
