--- a/laurelcourse/cli.py
+++ b/laurelcourse/cli.py
@@ -89,7 +89,9 @@
         click.echo(f"{path}: good: relay {found.name}, {len(found.settings.routes)} routes, "
                    f"{len(found.known.entries)} units known")
     if (settings := read_operator(operator)) is not None:
-        click.echo(f"{operator}: good: {len(settings.fronts)} fronts")
+        fleet = settings.fleet
+        kept = f", {len(fleet.keepers)} keepers, {len(fleet.budgets)} budgets" if fleet else ""
+        click.echo(f"{operator}: good: {len(settings.fronts)} fronts{kept}")
 
 
 @main.command()
--- a/laurelcourse/operator/form.py
+++ b/laurelcourse/operator/form.py
@@ -100,9 +100,57 @@
     folder_line: int
 
 
+class Keeper(NamedTuple):
+    line: int
+    name: str                    # of the relay that is one, as in its own configuration
+    address: Address             # where the other relays reach it
+    site: str
+
+
+class KeeperBounds(NamedTuple):
+    line: int
+    heartbeat: int               # of the keepers' leader
+    patience: int                # without a leader for so long, a keeper asks to be elected
+    batch: int                   # bytes of entries in one message
+    piece: int                   # bytes of a snapshot in one message
+    ahead: int                   # messages under way to one keeper
+    waiting: int                 # orders that wait at once
+    snapshot_every: int          # entries after which the log is cut
+
+
+class Budget(NamedTuple):
+    line: int
+    name: str
+    kind: str                    # rate, level, count: as in `fleet.books.forms`
+    whole: int                   # of each one in `scope`: a second, at any instant, or in `window`
+    floor: int                   # what each relay may use without a share
+    relays: int                  # the most there may be
+    window: int                  # of a count, else 0
+    freed_after: int             # of a level, else 0: the other end lets go by itself so long after
+    scope: str                   # fleet, site, unit, tenant, route
+    when_used_up: str            # other: another unit; wait; shed
+
+
+class Fleet(NamedTuple):
+    line: int
+    name: str
+    listen: Address | None       # where this relay hears the others, if not at its keeper's address
+    folder: str | None           # where a keeper's books last; from the settings' own folder on
+    lease: int
+    beat: int                    # how often a relay renews its lease
+    drift: int                   # parts of a million
+    sessions: int
+    alone: bool                  # one keeper is enough: its death is the end of the books until it is back
+    spread: bool                 # keepers must lie on two sites at least
+    keepers: tuple[Keeper, ...]
+    bounds: KeeperBounds
+    budgets: tuple[Budget, ...]
+
+
 class Operator(NamedTuple):
     path: str
     fronts: tuple[Tuf, ...]
+    fleet: Fleet | None = None
 
 
 class Fault(NamedTuple):
--- a/laurelcourse/operator/meaning.py
+++ b/laurelcourse/operator/meaning.py
@@ -1,9 +1,11 @@
 """What a schema can't say: whether the settings make sense together, and whether files exist."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 from pathlib import Path
 
-from laurelcourse.operator.form import MANIFEST, METADATA, TARGET, Fault, Operator, Tuf
+from laurelcourse.operator import meaning_fleet
+from laurelcourse.operator.form import MANIFEST, METADATA, TARGET, Address, Fault, Operator, Tuf
+from laurelcourse.operator.same import off_range, twice
 
 LONGEST_TIMEOUT = 3_600_000_000
 LEAST_CHUNK, MOST_CHUNK = 4 << 10, 1 << 20
@@ -11,22 +13,30 @@
 
 def faults(found: Operator, beside: Path) -> list[Fault]:
     """Every fault in the settings; `beside` is the folder that relative names of files start from."""
-    return [*_fronts(found), *(fault for front in found.fronts for fault in _front(front, beside))]
+    all_ = [*_fronts(found), *(fault for front in found.fronts for fault in _front(front, beside))]
+    if found.fleet is not None:
+        all_ += [*meaning_fleet.faults(found.fleet, beside), *_beside(found)]
+    return all_
 
 
-def _twice(what: str, named: Iterable[tuple[int, object]]) -> Iterator[Fault]:
-    seen: dict[object, int] = {}
-    for line, value in named:
-        shown = "{}:{}".format(*value) if isinstance(value, tuple) else value
-        if value in seen:
-            yield Fault(line, f"{what} {shown} stands twice, first on line {seen[value]}: give each its own")
-        seen.setdefault(value, line)
+def _fronts(found: Operator) -> Iterator[Fault]:
+    yield from twice("front", ((one.line, one.name) for one in found.fronts))
+    yield from twice("listen", ((one.line, one.listen) for one in found.fronts))
+    yield from twice("state folder", ((one.folder_line, one.folder) for one in found.fronts if one.folder))
 
 
-def _fronts(found: Operator) -> Iterator[Fault]:
-    yield from _twice("front", ((one.line, one.name) for one in found.fronts))
-    yield from _twice("listen", ((one.line, one.listen) for one in found.fronts))
-    yield from _twice("state folder", ((one.folder_line, one.folder) for one in found.fronts if one.folder))
+def _beside(found: Operator) -> Iterator[Fault]:
+    """What the fleet and the fronts can't both have."""
+    fleet = found.fleet
+    folders = [(one.folder_line, one.folder) for one in found.fronts if one.folder]
+    yield from twice("folder", [*([(fleet.line, fleet.folder)] if fleet.folder else []), *folders])
+    heard: list[tuple[int, Address]] = [(one.line, one.address) for one in fleet.keepers]
+    heard += [(fleet.line, fleet.listen)] if fleet.listen else []
+    listens = {one.listen: one for one in found.fronts}
+    for line, address in heard:
+        if address in listens:
+            yield Fault(line, "{}:{} is where front {} listens: give the fleet a port of its own".format(
+                *address, listens[address].name))
 
 
 def _front(front: Tuf, beside: Path) -> Iterator[Fault]:
@@ -43,24 +53,22 @@
     told = [(front.line, front.listen), *((one.line, one.address) for one in front.mirrors.listed)]
     told += [(front.mirrors.line, front.mirrors.directory)] if front.mirrors.directory else []
     told += [(front.release.line, front.release.deployer)] if front.release else []
-    for line, (host, port) in told:
-        if any(int(part) > 255 for part in host.split(".")) or not 0 < port < 65536:
-            yield Fault(line, f"{host}:{port} is no address: parts go up to 255, ports from 1 to 65535")
+    yield from off_range(told)
 
 
 def _mirrors(front: Tuf) -> Iterator[Fault]:
     mirrors = front.mirrors
     if not mirrors.listed and not mirrors.directory:
         yield Fault(mirrors.line, "no mirror and no directory: name one or the other")
-    yield from _twice("mirror", ((one.line, one.name) for one in mirrors.listed))
-    yield from _twice("mirror address", ((one.line, one.address) for one in mirrors.listed))
+    yield from twice("mirror", ((one.line, one.name) for one in mirrors.listed))
+    yield from twice("mirror address", ((one.line, one.address) for one in mirrors.listed))
     for one in mirrors.listed:
         if one.address == front.listen:
             yield Fault(one.line, f"mirror {one.name} is the front's own listen address: it would ask itself")
 
 
 def _routes(front: Tuf) -> Iterator[Fault]:
-    yield from _twice("route", ((one.line, one.name) for one in front.routes))
+    yield from twice("route", ((one.line, one.name) for one in front.routes))
     named = {one.name for one in front.routes}
     for wanted in (METADATA, TARGET, *([MANIFEST] if front.uptane else [])):
         if wanted not in named:
@@ -81,10 +89,10 @@
 
 
 def _repositories(front: Tuf, beside: Path) -> Iterator[Fault]:
-    yield from _twice("repository", ((one.line, one.name) for one in front.repositories))
+    yield from twice("repository", ((one.line, one.name) for one in front.repositories))
     prefixes = [(one.line, prefix) for one in front.repositories
                 for prefix in (one.metadata, one.targets) if prefix]
-    yield from _twice("path", prefixes)
+    yield from twice("path", prefixes)
     for line, prefix in prefixes:
         for _, other in prefixes:
             if prefix != other and prefix.startswith(other):
--- a/laurelcourse/operator/reading.py
+++ b/laurelcourse/operator/reading.py
@@ -22,7 +22,9 @@
     "duration": "a time with its unit, such as 500ms, 2s or 1h", "address": "an IPv4 address and a port",
     "size": "a size with its unit, such as 64KiB", "rate": "a rate, such as 16KiB/s",
     "name": "a name of letters, digits, '-', '.' and '_'", "share": "a share from 0 to 1",
+    "amount": "a whole number", "parts": "parts of a million, a whole number",
     "prefix": "a path that begins and ends with '/'", "count": "a whole number from 1 to 1000000"}
+HEARTBEATS, PATIENCE = 10, 2  # in a beat of the fleet, where its bounds are not told
 MOST = 4 << 20  # bytes of a settings file
 
 
@@ -54,7 +56,9 @@
     schema = etree.XMLSchema(described, attribute_defaults=True)
     if not schema.validate(root):
         raise OperatorError(path, _structure(schema.error_log, _wanted(described)))
-    found = form.Operator(path, tuple(_tuf(node, described) for node in root))
+    fleet = root.find(SPACE + "fleet")
+    found = form.Operator(path, tuple(_tuf(node, described) for node in root.findall(SPACE + "tuf")),
+                          None if fleet is None else _fleet(fleet, described))
     if faults := meaning.faults(found, Path(path).parent):
         raise OperatorError(path, faults)
     return found
@@ -107,6 +111,33 @@
         for name, value in values.items()})
 
 
+def _truth(text: str) -> bool:
+    return text in ("true", "1")
+
+
+def _fleet(node: Any, described: Any) -> form.Fleet:  # noqa: ANN401
+    beat = _time(node.get("beat"))
+    told = node.find(SPACE + "bounds")
+    bounds = _one(form.KeeperBounds, _Empty(described, "bounds", node.sourceline) if told is None else told,
+                  heartbeat=_time, patience=_time, batch=_size, piece=_size, ahead=int, waiting=int,
+                  snapshot_every=int)
+    bounds = bounds._replace(heartbeat=beat // HEARTBEATS if bounds.heartbeat is None else bounds.heartbeat,
+                             patience=beat // PATIENCE if bounds.patience is None else bounds.patience)
+    listen = node.get("listen")
+    return form.Fleet(
+        line=node.sourceline, name=node.get("name"), listen=_address(listen) if listen else None,
+        folder=node.get("folder"), lease=_time(node.get("lease")), beat=beat, drift=int(node.get("drift")),
+        sessions=int(node.get("sessions")), alone=_truth(node.get("alone")),
+        spread=_truth(node.get("spread")),
+        keepers=tuple(_one(form.Keeper, one, address=_address) for one in node.findall(SPACE + "keeper")),
+        bounds=bounds, budgets=tuple(_budget(one) for one in node.findall(SPACE + "budget")))
+
+
+def _budget(node: Any) -> form.Budget:  # noqa: ANN401
+    found = _one(form.Budget, node, whole=int, floor=int, relays=int, window=_time, freed_after=_time)
+    return found._replace(window=found.window or 0, freed_after=found.freed_after or 0)
+
+
 def _tuf(node: Any, described: Any) -> form.Tuf:  # noqa: ANN401
     def part(name: str) -> Any:  # noqa: ANN401
         return node.find(SPACE + name)
@@ -128,7 +159,7 @@
             bake=_time),
         repositories=tuple(_one(form.Repository, one) for one in node.findall(SPACE + "repository")),
         uptane=None if uptane is None else _one(
-            form.Uptane, uptane, memory=_time, directed_only=lambda text: text in ("true", "1")),
+            form.Uptane, uptane, memory=_time, directed_only=_truth),
         routes=tuple(
             form.Route(one.sourceline, one.get("name"), _time(one.get("latency-objective")),
                        _time(one.get("timeout")), float(one.get("earnings")))
