--- a/laurelcourse/lab/process.py
+++ b/laurelcourse/lab/process.py
@@ -24,14 +24,20 @@
         self.log.touch()
         self.process: subprocess.Popen | None = None
 
-    def start(self) -> None:
+    def words(self) -> list[str]:
+        """The module and its arguments, as Python is to run it."""
         module = ["laurelcourse.lab.broken", self.lab, self.broken] if self.broken else ["laurelcourse"]
-        words = [sys.executable, "-B", "-m", *module, "serve", "--config", str(self.path)]
-        words += ["--operator", str(self.operator)] if self.operator else []
+        told = ["--operator", str(self.operator)] if self.operator else []
+        return [*module, "serve", "--config", str(self.path), *told]
+
+    def start(self, wait: bool = True) -> None:
+        """Raises RuntimeError if it ends before it serves, where that is waited for."""
         served = self.log.read_text().count("msg=serving")
         with self.log.open("ab") as log:
-            self.process = subprocess.Popen(words, cwd=ROOT, stderr=log, stdout=log,
-                                            env=os.environ | {"PYTHONPATH": str(ROOT)})
+            self.process = subprocess.Popen([sys.executable, "-B", "-m", *self.words()], cwd=ROOT, stderr=log,
+                                            stdout=log, env=os.environ | {"PYTHONPATH": str(ROOT)})
+        if not wait:
+            return
         until(lambda: self.log.read_text().count("msg=serving") > served or self.process.poll() is not None,
               20)
         if self.process.poll() is not None:
