Calls between the fleet's processes: server, peers, client, mailbox

Keepers and relays need a way to each other that blocks nobody: a dead, half open or mute keeper holds up one thread for a call's time, orders follow the leader's hint, errors cross by code, and what gRPC's threads bring is handed to the scheduler by one bounded queue.

--- a/laurelcourse/fleet/calls/codec.py
+++ b/laurelcourse/fleet/calls/codec.py
@@ -45,14 +45,14 @@
 Two = tuple[Callable, Callable]  # a form's value to the message's, and back
 
 
-def _refuse(to: str, fault: str) -> UnreadableError:
+def unreadable(to: str, fault: str) -> UnreadableError:
     return UnreadableError(to, fault=fault)
 
 
 def _whole(where: str) -> Two:
     def both(value: object) -> int:
         if type(value) is not int or not 0 <= value <= MOST:
-            raise _refuse(where, "a number out of range")
+            raise unreadable(where, "a number out of range")
         return value
     return both, both
 
@@ -60,7 +60,7 @@
 def _flag(where: str) -> Two:
     def write(value: object) -> bool:
         if type(value) is not bool:
-            raise _refuse(where, "not true or false")
+            raise unreadable(where, "not true or false")
         return value
     return write, lambda value: value
 
@@ -68,7 +68,7 @@
 def _bytes(where: str) -> Two:
     def write(value: object) -> bytes:
         if type(value) is not bytes:
-            raise _refuse(where, "not bytes")
+            raise unreadable(where, "not bytes")
         return value
     return write, lambda value: value
 
@@ -76,12 +76,12 @@
 def _text(where: str, known: tuple[str, ...] | None = None) -> Two:
     def both(value: object) -> str:
         if type(value) is not str:
-            raise _refuse(where, "not a text")
+            raise unreadable(where, "not a text")
         # Only a text that may be over the bound is encoded for its length: this is done for every name.
         if 4 * len(value) > TEXT and (size := len(value.encode("utf-8", "replace"))) > TEXT:
             raise TooLargeError(where, size=size, at_most=TEXT)
         if known is not None and value not in known:
-            raise _refuse(where, f"no such kind '{value[:40]}'")
+            raise unreadable(where, f"no such kind '{value[:40]}'")
         return value
     return both, both
 
@@ -95,7 +95,7 @@
         return wire.Value(fence=_write(value))
     if isinstance(value, tuple) and deep:
         return wire.Value(many=wire.Values(values=[_value_to(one, where, deep - 1) for one in value]))
-    raise _refuse(where, "neither a number in range, a text, a fence nor a tuple of them")
+    raise unreadable(where, "neither a number in range, a text, a fence nor a tuple of them")
 
 
 def _value_of(value: Message, where: str, deep: int = DEEP) -> object:
@@ -108,7 +108,7 @@
         return _read(books.Fence, value.fence)
     if which == "many" and deep:
         return tuple([_value_of(one, where, deep - 1) for one in value.many.values])
-    raise _refuse(where, "a value of no known kind")
+    raise unreadable(where, "a value of no known kind")
 
 
 def _result(where: str) -> Two:
@@ -118,12 +118,12 @@
             return ()
         found = _value_of(value, where)
         if not isinstance(found, tuple):
-            raise _refuse(where, "not a tuple")
+            raise unreadable(where, "not a tuple")
         return found
 
     def write(value: object) -> Message:
         if not isinstance(value, tuple):
-            raise _refuse(where, "not a tuple")
+            raise unreadable(where, "not a tuple")
         return _value_to(value, where) if value else wire.Value()
     return write, read
 
@@ -133,12 +133,12 @@
     def read(value: Message) -> int | str:
         found = _value_of(value, where)
         if isinstance(found, tuple):
-            raise _refuse(where, "neither a number nor a text")
+            raise unreadable(where, "neither a number nor a text")
         return found
 
     def write(value: object) -> Message:
         if isinstance(value, tuple):
-            raise _refuse(where, "neither a number nor a text")
+            raise unreadable(where, "neither a number nor a text")
         return _value_to(value, where)
     return write, read
 
@@ -148,7 +148,7 @@
 
     def write(values: object) -> list:
         if not isinstance(values, tuple):
-            raise _refuse(where, "not a tuple")
+            raise unreadable(where, "not a tuple")
         return [to(value) for value in values]
     return write, lambda values: tuple([of(value) for value in values])
 
@@ -160,7 +160,7 @@
 
     def write(pair: object) -> Message:
         if not isinstance(pair, tuple) or len(pair) != 2:
-            raise _refuse(where, "not a pair")
+            raise unreadable(where, "not a pair")
         return kind(**{first.name: to_1(pair[0]), second.name: to_2(pair[1])})
     return write, lambda pair: (of_1(getattr(pair, first.name)), of_2(getattr(pair, second.name)))
 
@@ -170,13 +170,13 @@
 
     def write(form: object) -> Message:
         if type(form) not in names:
-            raise _refuse(where, "of no known kind")
+            raise unreadable(where, "of no known kind")
         return message(**{names[type(form)]: _write(form)})
 
     def read(found: Message) -> object:
         name = found.WhichOneof("one")
         if name is None:
-            raise _refuse(where, "of no kind that this version knows")
+            raise unreadable(where, "of no kind that this version knows")
         return _read(kinds[name], getattr(found, name))
     return write, read
 
@@ -184,7 +184,7 @@
 def _form(kind: type, where: str) -> Two:
     def write(form: object) -> Message:
         if type(form) is not kind:
-            raise _refuse(where, f"not a {kind.__name__}")
+            raise unreadable(where, f"not a {kind.__name__}")
         return _write(form)
     return write, lambda message: _read(kind, message)
 
@@ -241,7 +241,7 @@
     for name, _, of, single, spare in LAYOUTS[form].fields:
         if single and not message.HasField(name):
             if not spare:
-                raise _refuse(form.__name__, f"no {name}")
+                raise unreadable(form.__name__, f"no {name}")
             values.append(None)
         else:
             values.append(of(getattr(message, name)))
@@ -270,8 +270,8 @@
     except FleetError:
         raise
     except (ValueError, TypeError, EncodeError) as error:  # surrogates in a text, a field of None
-        raise _refuse(type(form).__name__, type(error).__name__) from error
-    raise _refuse(type(form).__name__, "no form that crosses")
+        raise unreadable(type(form).__name__, type(error).__name__) from error
+    raise unreadable(type(form).__name__, "no form that crosses")
 
 
 def form_of(kind: type, message: Message) -> object:
@@ -286,7 +286,7 @@
             return tuple([_read(books.Done, one) for one in message.dones.dones])
         if which == "done":
             return _read(books.Done, message.done)
-        raise _refuse("Answer", "of no kind that this version knows")
+        raise unreadable("Answer", "of no kind that this version knows")
     return _read(kind, message)
 
 
@@ -296,7 +296,7 @@
     try:
         return message.FromString(data)
     except (DecodeError, UnicodeDecodeError) as error:
-        raise _refuse(message.DESCRIPTOR.name, "not its bytes") from error
+        raise unreadable(message.DESCRIPTOR.name, "not its bytes") from error
 
 
 def fitting(message: Message, at_most: int) -> Message:
@@ -325,7 +325,7 @@
     """The sender's name, once the head shows that the message is from this fleet, for this process and of a
     version that it reads. A keeper's answer that strays to another could be counted there as a vote."""
     if not message.HasField("head"):
-        raise _refuse(message.DESCRIPTOR.name, "no head")
+        raise unreadable(message.DESCRIPTOR.name, "no head")
     found = message.head
     for text in (found.fleet, found.sender, found.to):
         _text("Head")[1](text)
@@ -334,5 +334,5 @@
     if found.fleet != fleet:
         raise OtherFleetError(found.sender, theirs=found.fleet, ours=fleet)
     if not found.sender or found.to != me:
-        raise _refuse(found.sender or "Head", f"it is for '{found.to}', this is '{me}'")
+        raise unreadable(found.sender or "Head", f"it is for '{found.to}', this is '{me}'")
     return found.sender
--- /dev/null
+++ b/tests/test_fleet_calls.py
@@ -0,0 +1,485 @@
+"""What crosses between processes of a fleet: forms, versions, the real server and client, and the mailbox."""
+
+import contextlib
+import socket
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable, Iterator
+from concurrent.futures import Future
+from pathlib import Path
+
+import grpc
+import pytest
+
+from laurelcourse.chance import Chance
+from laurelcourse.fleet import errors, orders
+from laurelcourse.fleet.books import forms as books
+from laurelcourse.fleet.calls import codec, fleet_pb2_grpc
+from laurelcourse.fleet.calls import fleet_pb2 as wire
+from laurelcourse.fleet.calls.client import Client
+from laurelcourse.fleet.calls.mailbox import Letters
+from laurelcourse.fleet.calls.peers import Peers, heartbeat
+from laurelcourse.fleet.calls.service import Service
+from laurelcourse.fleet.calls.ways import Limits, limits, options
+from laurelcourse.fleet.keeper import forms as keeper
+from laurelcourse.net.scheduler import Clock, Scheduler
+
+ROOT = Path(__file__).parent.parent
+SECOND = 1_000_000
+LIMITS = Limits(message=1 << 16, talks=3, asks=2, queue=4, talk=SECOND // 4, call=SECOND // 4,
+                answer=2 * SECOND, pause=SECOND // 100, idle=10 * SECOND)
+FENCE = books.Fence("relay-1", 7, 3, 2)
+MARK = keeper.Mark("d1", 2, 9)
+VOTERS = keeper.Keepers(("a", "b"), ("c",))
+BEAT = orders.Beat(FENCE, (("probes", 9), ("tries/x", 0)))
+RENEWED = orders.Renewed(10 * SECOND, (orders.Share("probes", 5, 4),))
+ASKED = orders.Question("hash")
+BUDGET = books.Budget("probes", books.LEVEL, 90, 1, 30, 0, SECOND)
+WHATS = (books.Open("relay-1", "north"), books.Close(), books.Lapse(7), books.Define((BUDGET,)),
+         books.Grant("probes", ((7, 30), (8, 0))), books.GiveBack("probes", 2))
+SUBMIT = orders.Submit(tuple(books.Command(FENCE if n else None, n, what) for n, what in enumerate(WHATS)))
+BATCH = books.Batch(5, 2, SUBMIT.commands)
+BEATING = keeper.Append(2, 9, 2, (), 8, 41)
+TALK = (keeper.AskVote(3, 9, 2, True, False), keeper.Vote(3, True, True), BEATING,
+        keeper.Append(2, 9, 2, (keeper.Entry(10, 2, keeper.BOOKS, b"\0x"),), 8, 41, (("b", MARK),)),
+        keeper.Appended(2, False, 4, 41), keeper.Piece(2, 9, 2, VOTERS, 0, b"{}", True, 41),
+        keeper.PieceTaken(2, 9, 2, False, 41), keeper.TakeOver(2), keeper.Hello(2, "d1", 9),
+        keeper.Known(2, "d1", True, MARK))
+ANSWERS = (RENEWED, (books.Done(tuple(FENCE)), books.Done(FENCE), books.Done((-1, "x", ((), (FENCE,))))),
+           books.Done(code="over_whole", to="probes", told=(("sum", 99), ("whole", "ä"))), (), books.Done())
+
+
+def now() -> int:
+    return time.monotonic_ns() // 1000
+
+
+def until(true: Callable[[], object], seconds: float = 5) -> None:
+    end = time.monotonic() + seconds
+    while not true():
+        assert time.monotonic() < end, "did not come about in time"
+        time.sleep(0.002)
+
+
+# Forms
+
+@pytest.mark.parametrize("kind, form", [
+    *((keeper.Message, one) for one in TALK), *((orders.Answer, one) for one in ANSWERS),
+    (orders.Submit, SUBMIT), (orders.Beat, BEAT), (orders.Question, ASKED), (keeper.Keepers, VOTERS),
+    (books.Batch, BATCH), (keeper.Snapshot, keeper.Snapshot(9, 2, VOTERS, b"{}"))])
+def test_a_form_comes_out_as_it_went_in(kind: type, form: object) -> None:
+    message = codec.message_of(form)
+    there = codec.parsed(type(message), message.SerializeToString(), 1 << 20)
+    back = codec.form_of(kind, there)
+    assert back == form and type(back) is type(form)
+    if isinstance(form, tuple) and form and isinstance(form[0], books.Done):
+        assert type(back[1].value) is books.Fence and type(back[0].value) is tuple
+
+
+def test_a_batch_is_the_same_bytes_each_time() -> None:
+    assert codec.packed(BATCH) == codec.packed(codec.unpacked(codec.packed(BATCH)))
+
+
+def _deep(levels: int) -> tuple:
+    return (_deep(levels - 1),) if levels else ()
+
+
+@pytest.mark.parametrize("form", [
+    keeper.TakeOver(-1), keeper.TakeOver(1 << 63), keeper.TakeOver(True), keeper.TakeOver(None),
+    keeper.Vote(1, 1, True), keeper.Hello(1, "\ud800", 1), keeper.Hello(1, b"x", 1),
+    keeper.Hello(1, "x" * 5000, 1),
+    BEATING._replace(entries=(keeper.Entry(1, 1, "other", b""),)), BEATING._replace(marks=(("b", MARK, 1),)),
+    BEATING._replace(entries=(keeper.Entry(1, 1, keeper.NOOP, "text"),)), orders.Submit([]),
+    orders.Submit((SUBMIT,)), orders.Submit((books.Command(None, 1, BUDGET),)), orders.Beat(None),
+    books.Done((1.5,)), books.Done(7), books.Done(told=(("x", (1,)),)), books.Done(_deep(20)), (1,), 7])
+def test_what_does_not_fit_is_not_written(form: object) -> None:
+    error = errors.TooLargeError if "xxxx" in repr(form) else errors.UnreadableError
+    with pytest.raises(error):
+        codec.message_of(form)
+
+
+@pytest.mark.parametrize("kind, message", [
+    (books.Batch, wire.Batch(at=1 << 63)), (books.Batch, wire.Batch(commands=[wire.Command(mark=1)])),
+    (books.Batch, wire.Batch(commands=[wire.Command(mark=1, what=wire.What())])),
+    (orders.Beat, wire.Beat()), (keeper.Message, wire.Message()), (orders.Answer, wire.Answer()),
+    (orders.Answer, wire.Answer(done=wire.Done(value=wire.Value(number=1)))),
+    (orders.Answer, wire.Answer(done=wire.Done(told=[wire.Told(name="x")]))),
+    (keeper.Message, wire.Message(append=wire.Append(entries=[wire.Entry(kind="other")])))])
+def test_what_is_not_whole_is_not_read(kind: type, message: object) -> None:
+    with pytest.raises(errors.UnreadableError):
+        codec.form_of(kind, message)
+
+
+def test_bytes_of_any_kind_are_read_or_refused() -> None:
+    chance, sound, read = Chance(5), codec.packed(BATCH), 0
+    for _ in range(3000):
+        data = bytearray(sound[:1 + chance.below(len(sound))])
+        for _ in range(chance.below(4)):
+            data[chance.below(len(data))] = chance.below(256)
+        try:
+            codec.message_of(codec.unpacked(bytes(data), at_most=len(sound) - 1))
+            read += 1
+        except (errors.UnreadableError, errors.TooLargeError):
+            pass
+    assert 30 < read < 2000
+
+
+# Versions
+
+def _with_more(message: object) -> object:
+    """The same from a newer version: bytes of a field 900 at its end."""
+    return type(message).FromString(message.SerializeToString() + b"\xa2\x38\x03new")
+
+
+def test_fields_of_a_newer_version_are_passed_over() -> None:
+    assert codec.form_of(orders.Beat, _with_more(codec.message_of(BEAT))) == BEAT
+    assert codec.unpacked(codec.packed(BATCH) + b"\xa2\x38\x03new") == BATCH
+
+
+def test_the_generated_files_are_those_of_the_proto(tmp_path: Path) -> None:
+    folder = "laurelcourse/fleet/calls"
+    subprocess.run([sys.executable, "-m", "grpc_tools.protoc", "-I.", f"--python_out={tmp_path}",
+                    f"--grpc_python_out={tmp_path}", f"{folder}/fleet.proto"], cwd=ROOT, check=True)
+    for name in ("fleet_pb2.py", "fleet_pb2_grpc.py"):
+        assert (tmp_path / folder / name).read_text() == (ROOT / folder / name).read_text()
+
+
+def test_grpc_is_loaded_by_nothing_else() -> None:
+    names = [".".join(one.relative_to(ROOT).with_suffix("").parts)
+             for one in sorted((ROOT / "laurelcourse/fleet").rglob("*.py"))
+             if one.parent.name != "calls" or one.stem in ("codec", "mailbox")]
+    assert "laurelcourse.fleet.orders" in names
+    code = f"import sys; [__import__(name) for name in {names}]; print('grpc' in sys.modules)"
+    done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
+    assert done.stdout == "False\n"
+
+
+# The real server and client
+
+class Scripted:
+    """Stands in for Keeping: `script` gives an answer, an error or a future for each order."""
+
+    def __init__(self, script: Callable[[object], object] = lambda _: RENEWED) -> None:
+        self.script, self.talk, self.orders = script, [], []
+
+    def heard(self, sender: str, message: object) -> None:
+        self.talk.append((sender, message))
+
+    def _ask(self, order: object) -> Future:
+        self.orders.append(order)
+        found = self.script(order)
+        if isinstance(found, Future):
+            return found
+        future = Future()
+        if isinstance(found, Exception):
+            future.set_exception(found)
+        else:
+            future.set_result(found)
+        return future
+
+    submit = renew = ask = change = _ask
+
+
+def refused(code: str, **told: object) -> books.Done:
+    return books.Done(code=code, to="x", told=tuple(told.items()))
+
+
+class Ground:
+    """Servers, clients and half-open listeners of one test, ended with it."""
+
+    def __init__(self, ends: contextlib.ExitStack) -> None:
+        self.ends = ends
+
+    def keeper(self, name: str, keeping: Scripted, port: int = 0, host: str = "127.0.0.2") -> Service:
+        service = Service(keeping, "fleet", name, f"{host}:{port}", LIMITS)
+        service.start()
+        self.ends.callback(service.stop, 0)
+        return service
+
+    def half_open(self) -> str:
+        listener = self.ends.enter_context(socket.create_server(("127.0.0.3", 0)))
+        return f"127.0.0.3:{listener.getsockname()[1]}"
+
+    def mute(self) -> str:
+        """A peer of gRPC (an empty SETTINGS frame: RFC 9113, 6.5) that then says nothing more."""
+        listener = self.ends.enter_context(socket.create_server(("127.0.0.3", 0)))
+        held = []
+
+        def serve() -> None:
+            with contextlib.suppress(OSError):
+                while True:
+                    held.append(listener.accept()[0])
+                    held[-1].sendall(b"\0\0\0\4\0\0\0\0\0")
+        threading.Thread(target=serve, daemon=True).start()
+        self.ends.callback(lambda: [one.close() for one in held])
+        self.ends.callback(listener.shutdown, socket.SHUT_RDWR)
+        return f"127.0.0.3:{listener.getsockname()[1]}"
+
+    def dead(self) -> str:
+        with socket.create_server(("127.0.0.3", 0)) as listener:
+            return f"127.0.0.3:{listener.getsockname()[1]}"
+
+    def client(self, keepers: dict[str, str], limits: Limits = LIMITS) -> Client:
+        client = Client("fleet", "relay-1", keepers, limits, now, Chance(1))
+        self.ends.callback(client.close, SECOND)
+        return client
+
+    def raw(self, service: Service) -> grpc.Channel:
+        return self.ends.enter_context(grpc.insecure_channel(at(service), options(LIMITS)))
+
+
+def at(service: Service) -> str:
+    return f"127.0.0.2:{service.port}"
+
+
+@pytest.fixture
+def ground() -> Iterator[Ground]:
+    with contextlib.ExitStack() as ends:
+        yield Ground(ends)
+
+
+def told(call: Callable, form: object, seconds: float = 5) -> object:
+    found = Future()
+    call(form, found.set_result)
+    return found.result(seconds)
+
+
+def test_each_order_is_carried_and_the_leaders_hint_is_followed(ground: Ground) -> None:
+    leading = Scripted(lambda order: books.Done(("x",)) if order == ASKED else RENEWED)
+    others = [Scripted(lambda _: refused("not_leader", leader="c")) for _ in "ab"]
+    client = ground.client({"a": at(ground.keeper("a", others[0])), "b": at(ground.keeper("b", others[1])),
+                            "c": at(ground.keeper("c", leading))})
+    assert told(client.renew, BEAT) == RENEWED
+    assert len(others[0].orders) + len(others[1].orders) <= 1  # one hint suffices, and is remembered
+    assert [told(client.submit, SUBMIT), told(client.ask, ASKED), told(client.change, VOTERS)] == [
+        RENEWED, books.Done(("x",)), RENEWED]
+    assert leading.orders == [BEAT, SUBMIT, ASKED, VOTERS]
+    assert len(others[0].orders) + len(others[1].orders) <= 1
+
+
+@pytest.mark.parametrize("answer, heard", [
+    (refused("lapsed_lease", session=7), books.Done), (errors.LapsedLeaseError("x", session=7), books.Done),
+    (refused("no_quorum"), errors.NoQuorumError), (refused("not_leader", leader="a"), errors.NoQuorumError),
+    (refused("not_leader", leader="none"), errors.NoQuorumError),
+    (refused("overloaded", waiting=1, at_most=1), errors.OverloadedError),
+    (refused("stopping"), errors.StoppingError), (refused("never heard of"), books.Done),
+    (Future(), errors.UnknownFateError),
+    (books.Done(("x" * 2000,) * 40), books.Done)])
+def test_what_a_keeper_refuses_comes_out_by_type(ground: Ground, answer: object, heard: type) -> None:
+    service = ground.keeper("a", Scripted(lambda _: answer))
+    client = ground.client({"a": at(service)}, LIMITS._replace(answer=SECOND // 2))
+    found = told(client.submit, SUBMIT)
+    assert type(found) is heard
+    if heard is books.Done:
+        assert found.code == (answer.code or "too_large")
+
+
+def test_a_half_open_and_a_dead_keeper_are_passed_over_in_time(ground: Ground) -> None:
+    keeping = Scripted()
+    for turn in range(3):
+        client = ground.client({"a": ground.half_open(), "b": ground.dead(),
+                                "c": at(ground.keeper("c", keeping))})
+        client.turn, began = turn, now()
+        assert told(client.renew, BEAT) == RENEWED and now() - began < 2 * LIMITS.call + SECOND // 2
+        began = now()
+        assert told(client.renew, BEAT) == RENEWED and now() - began < LIMITS.call
+
+
+@pytest.mark.parametrize("verb, form, keepers, error", [
+    ("submit", SUBMIT, ["dead"], errors.NoQuorumError), ("ask", ASKED, ["dead"], errors.NoQuorumError),
+    ("submit", SUBMIT, ["half_open"], errors.NoQuorumError),
+    ("submit", SUBMIT, ["mute"], errors.UnknownFateError),
+    ("renew", BEAT, ["half_open", "dead", "mute"], errors.NoQuorumError)])
+def test_without_keepers_an_order_ends_in_its_time(
+        ground: Ground, verb: str, form: object, keepers: list[str], error: type) -> None:
+    addresses = {one: getattr(ground, one)() for one in keepers}
+    client, began = ground.client(addresses, LIMITS._replace(answer=SECOND // 2)), now()
+    assert type(told(getattr(client, verb), form)) is error
+    assert SECOND // 2 <= now() - began < 2 * SECOND
+
+
+def test_a_clients_queue_is_bounded_and_closing_ends_what_waits(ground: Ground) -> None:
+    client, found = ground.client({"a": ground.mute()}, LIMITS._replace(call=SECOND)), []
+    client.submit(SUBMIT, found.append)
+    until(lambda: not client.lanes["submit"].queue)
+    for _ in range(LIMITS.queue):
+        client.submit(SUBMIT, found.append)
+    with pytest.raises(errors.OverloadedError):
+        client.submit(SUBMIT, found.append)
+    with pytest.raises(errors.TooLargeError):
+        client.submit(orders.Submit(SUBMIT.commands * 1000), found.append)
+    began = now()
+    client.close(SECOND)
+    assert now() - began < SECOND // 2
+    assert [type(one) for one in found] == [errors.UnknownFateError] + [errors.StoppingError] * LIMITS.queue
+    with pytest.raises(errors.StoppingError):
+        client.renew(BEAT, found.append)
+
+
+def _head(**other: object) -> wire.Head:
+    return wire.Head(**{"fleet": "fleet", "sender": "relay-1", "to": "a", "version": 1, **other})
+
+
+@pytest.mark.parametrize("head, code", [
+    (_head(), ""), (_head(minor=9), ""), (_head(version=2), "other_version"),
+    (_head(version=0), "other_version"), (_head(fleet="other"), "other_fleet"), (_head(to="b"), "unreadable"),
+    (_head(sender=""), "unreadable"),
+    (_head(sender="x" * 5000), "too_large"), (None, "unreadable")])
+def test_a_head_of_another_fleet_version_or_process_is_refused(
+        ground: Ground, head: wire.Head, code: str) -> None:
+    keeping = Scripted()
+    channel = ground.raw(ground.keeper("a", keeping))
+    order = _with_more(wire.RenewOrder(head=head, what=codec.message_of(BEAT)))
+    assert fleet_pb2_grpc.BooksStub(channel).Renew(order, timeout=5).answer.done.code == code
+    talk = _with_more(wire.Envelope(head=head, messages=[codec.message_of(BEATING), wire.Message()]))
+    heard = fleet_pb2_grpc.KeepersStub(channel).Talk(talk, timeout=5)
+    assert heard.refused.code == (code or "unreadable")  # the second message is of no kind known here
+    assert keeping.talk == ([] if code else [("relay-1", BEATING)]) and len(keeping.orders) == (not code)
+
+
+def test_strangers_on_the_port_change_nothing(ground: Ground) -> None:
+    keeping = Scripted()
+    service = ground.keeper("a", keeping)
+    chance = Chance(3)
+    for start in (b"", b"GET / HTTP/1.1\r\n\r\n", b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"):
+        garbage = start + bytes(chance.below(256) for _ in range(3000))
+        with socket.create_connection(("127.0.0.2", service.port)) as one, contextlib.suppress(OSError):
+            one.sendall(garbage)
+    channel = ground.raw(service)
+    renew = "/laurelcourse.fleet.v1.Books/Renew"
+    for data, status in ((b"\xff" * 50, grpc.StatusCode.INTERNAL),
+                         (b"\0" * (LIMITS.message + 1), grpc.StatusCode.RESOURCE_EXHAUSTED)):
+        with pytest.raises(grpc.RpcError) as caught:
+            grpc.insecure_channel(at(service)).unary_unary(renew)(data, timeout=5)
+        assert caught.value.code() is status
+    empty = fleet_pb2_grpc.BooksStub(channel).Renew(wire.RenewOrder(head=_head()), timeout=5)
+    assert empty.answer.done.code == "unreadable" and not keeping.orders
+    assert told(ground.client({"a": at(service)}).renew, BEAT) == RENEWED
+    with pytest.raises(OSError):
+        Service(keeping, "fleet", "b", at(service), LIMITS)
+
+
+def test_orders_that_wait_keep_no_keeper_from_talking_and_end_when_it_stops(ground: Ground) -> None:
+    keeping = Scripted(lambda _: Future())
+    service = ground.keeper("a", keeping)
+    stub = fleet_pb2_grpc.BooksStub(ground.raw(service))
+    renewal = wire.RenewOrder(head=_head(), what=codec.message_of(BEAT))
+    order = wire.SubmitOrder(head=_head(), what=codec.message_of(SUBMIT))
+    slow = [stub.Renew.future(renewal, timeout=30), stub.Submit.future(order, timeout=30)]
+    until(lambda: len(service.waits) == LIMITS.asks)
+    assert stub.Renew(renewal, timeout=5).answer.done.code == "overloaded"
+    talk = fleet_pb2_grpc.KeepersStub(ground.raw(service)).Talk
+    assert not talk(wire.Envelope(head=_head(), messages=[codec.message_of(BEATING)]), timeout=5).refused.code
+    assert keeping.talk == [("relay-1", BEATING)]
+    service.refuse()
+    assert [one.result(5).answer.done.code for one in slow] == ["stopping", "unknown_fate"]
+    assert talk(wire.Envelope(head=_head()), timeout=5).refused.code == "stopping"
+    service.stop(SECOND)
+
+
+def test_an_asker_that_left_holds_no_place(ground: Ground) -> None:
+    service = ground.keeper("a", Scripted(lambda _: Future()))
+    stub = fleet_pb2_grpc.BooksStub(ground.raw(service))
+    call = stub.Renew.future(wire.RenewOrder(head=_head(), what=codec.message_of(BEAT)), timeout=60)
+    until(lambda: service.waits)
+    began = now()
+    call.cancel()
+    until(lambda: not service.waits)
+    assert now() - began < LIMITS.call // 2
+
+
+# Between keepers
+
+def test_peers_bring_all_in_order_and_find_one_that_comes_back(ground: Ground) -> None:
+    keeping = Scripted()
+    first = ground.keeper("b", keeping)
+    addresses = {"a": "127.0.0.2:1", "b": at(first), "c": ground.half_open()}
+    peers = Peers("fleet", "a", addresses, LIMITS, Chance(1))
+    ground.ends.callback(peers.close, SECOND)
+    for one in TALK:
+        began = now()
+        peers.send("c", one)   # half open: its queue fills, the sender never waits
+        peers.send("d", one)   # without an address
+        peers.send("b", one)
+        assert now() - began < LIMITS.talk // 2
+        until(lambda one=one: keeping.talk and keeping.talk[-1] == ("a", one))
+    assert [one for _, one in keeping.talk] == list(TALK)
+    assert len(peers.peers["c"].queue) <= LIMITS.queue
+    first.stop(0)
+    peers.send("b", TALK[0])
+    until(lambda: peers.peers["b"].pause)
+    later = Scripted()
+    ground.keeper("b", later, port=first.port)
+
+    def again() -> list:
+        peers.send("b", BEATING)
+        return later.talk
+    until(again)
+    assert {sender for sender, _ in later.talk} == {"a"}
+    peers.know({"b": at(first)})
+    assert sorted(peers.peers) == ["b"]
+
+
+def test_a_full_queue_drops_the_oldest_heartbeats_first(ground: Ground) -> None:
+    peers = Peers("fleet", "a", {"b": ground.half_open()}, LIMITS, Chance(1))
+    ground.ends.callback(peers.close, SECOND)
+    peer = peers.peers["b"]
+    peer.put(TALK[0])
+    until(lambda: not peer.queue)  # its thread is held up by the first call from now on
+    sent = [BEATING._replace(round=n) if n % 2 else keeper.TakeOver(n) for n in range(7)]
+    for one in sent:
+        peer.put(one)
+    assert list(peer.queue) == [one for one in sent if not heartbeat(one)] and peer.lost == 3
+    peer.put(BEATING)
+    assert list(peer.queue) == [*sent[2::2], BEATING]
+
+
+def test_limits_follow_the_settings() -> None:
+    bounds = keeper.Bounds(SECOND // 4, SECOND, batch=1 << 18, ahead=4, piece=1 << 18, waiting=100)
+    found = limits(orders.Terms("fleet", 10 * SECOND, 1000, SECOND, 200, bounds, VOTERS, (), 1000))
+    assert found.message > 4 * (1 << 18) and found.asks >= 200 // 4 and found.talks >= 2 * 3
+    assert found.talk < found.call < found.answer
+
+
+# The mailbox
+
+def test_letters_wake_the_scheduler_from_another_thread_and_are_bounded() -> None:
+    scheduler = Scheduler(Clock(), lambda: None)
+    letters, got = Letters(scheduler, 3), []
+
+    def read() -> None:
+        got.append(letters.get(until=scheduler.now() + 10_000))   # nothing comes
+        while (item := letters.get()) is not None:
+            got.append(item)
+        got.append("closed")
+
+    scheduler.spawn(read)
+    scheduler.run(lambda: bool(got))
+    for n in range(3):
+        letters.put(n)
+    with pytest.raises(errors.OverloadedError):
+        letters.put(3)
+    scheduler.run(lambda: len(got) >= 4)
+    assert got == [None, 0, 1, 2]
+    # The poll has no alarm: it sleeps for ever unless the other thread's letter wakes it.
+    other = threading.Thread(target=lambda: [time.sleep(0.05), letters.put("from afar")])
+    other.start()
+    scheduler.run(lambda: len(got) >= 5)
+    other.join()
+    letters.put("last")
+    letters.close()
+    scheduler.run(lambda: got[-1] == "closed")
+    assert got[4:] == ["from afar", "last", "closed"]
+    with pytest.raises(errors.StoppingError):
+        letters.put("late")
+
+
+def test_a_renewal_costs_little_cpu(ground: Ground) -> None:
+    client = ground.client({"a": at(ground.keeper("a", Scripted()))})
+    told(client.renew, BEAT)
+    began, count = time.process_time_ns(), 300
+    for _ in range(count):
+        assert told(client.renew, BEAT) == RENEWED
+    spent = (time.process_time_ns() - began) // 1000 // count
+    assert spent < 10_000, f"{spent} us a renewal, both ends together"
