--- /dev/null
+++ b/laurelcourse/fleet/books/state.py
@@ -0,0 +1,87 @@
+"""What the fleet's common books keep, and how much of it at most.
+
+Every keeper must come to the same state from the same log, so the bounds are constants and not settings: a
+process with another file of settings would else refuse what the others carry out. Times are whole
+microseconds of the books' own account, amounts whole numbers.
+"""
+
+from laurelcourse.fleet.books.forms import Budget, Done, Fence
+
+MARKS = 64             # of each live session, whose outcomes are kept
+PAST = 1_000           # names without a live session whose boots are remembered
+SESSIONS = 4_096       # live at once
+BUDGETS = 256          # defined at once
+SCOPES = 4_096         # budgets and keys of them (`name/key`) with anything in use
+SHARES = 1 << 18       # of all sessions in all scopes
+PIECES = 64            # of one scope that wait for their time to be free
+TEXT = 256             # bytes of a name, a site, a scope
+AMOUNT = 1 << 48       # the largest amount or duration: no sum of as many as there may be leaves 63 bits
+NUMBER = (1 << 63) - 1
+
+
+class Session:
+    """A live one. `dones`: of its last marks; `forgotten`: the highest mark that is no longer kept."""
+
+    __slots__ = ("dones", "fence", "forgotten", "mark", "opened", "scopes", "site")
+
+    def __init__(self, fence: Fence, site: str, mark: int, opened: int) -> None:
+        self.fence, self.site, self.mark, self.opened = fence, site, mark, opened
+        self.dones: dict[int, Done] = {}
+        self.forgotten = 0
+        self.scopes: set[str] = set()      # where it holds a share: found from the scopes, not kept twice
+
+
+class Past:
+    """The last session of a name that has none now."""
+
+    __slots__ = ("boot", "mark", "session")
+
+    def __init__(self, boot: int, session: int, mark: int) -> None:
+        self.boot, self.session, self.mark = boot, session, mark
+
+
+class Scope:
+    """One whole being divided: a budget, or a key of it. `shares`: by session, granted and wanted, where
+    granted is above 0. `pieces`: when each is free, and how much; nobody's share, yet it may be in use."""
+
+    __slots__ = ("pieces", "shares")
+
+    def __init__(self) -> None:
+        self.shares: dict[int, tuple[int, int]] = {}
+        self.pieces: list[tuple[int, int]] = []
+
+    def held(self) -> int:
+        return sum(amount for _, amount in self.pieces)
+
+    def in_use(self) -> int:
+        return sum(granted for granted, _ in self.shares.values()) + self.held()
+
+
+class State:
+    __slots__ = ("budgets", "index", "last", "leaving", "live", "names", "next_free", "past", "scopes",
+                 "shares", "time")
+
+    def __init__(self) -> None:
+        self.index = self.time = self.last = 0       # last: the session opened last
+        self.live: dict[int, Session] = {}
+        self.names: dict[str, int] = {}              # of the live ones
+        self.past: dict[str, Past] = {}              # in the order in which they ended
+        self.budgets: dict[str, Budget] = {}         # in the order of the settings
+        self.leaving: dict[str, Budget] = {}         # no longer in the settings, but still in use
+        self.scopes: dict[str, Scope] = {}
+        self.shares = 0                              # how many, in all scopes
+        self.next_free = NUMBER                      # no piece is free before
+
+
+def number(value: object, least: int = 0, most: int = AMOUNT) -> bool:
+    return type(value) is int and least <= value <= most
+
+
+def text(value: object, least: int = 1) -> bool:
+    """Names stand in log lines and files: no controls, nothing that can't be encoded."""
+    if type(value) is not str or any(one < " " or one == "\x7f" for one in value):
+        return False
+    try:
+        return least <= len(value.encode()) <= TEXT
+    except UnicodeEncodeError:
+        return False
