--- a/laurelcourse/fleet/orders.py
+++ b/laurelcourse/fleet/orders.py
@@ -32,11 +32,13 @@
 
 
 class Beat(NamedTuple):
-    """A relay renews its session, and tells what it could use of each budget (`name` or `name/key`)."""
+    """A relay renews its session, and tells what it could use of each budget (`name` or `name/key`), and how
+    much of what it was granted it did use since the Beat before, in parts of a million."""
 
     fence: Fence
     demands: tuple[tuple[str, int], ...] = ()
     asked_at: int = 0            # by the relay's clock; its session gets it back with the answer; not sent
+    uses: tuple[tuple[str, int], ...] = ()
 
 
 class Share(NamedTuple):
