The desk around the real core: what is refused and how, and a relay's whole stay

Three keepers with disks in one thread open, renew, divide, take back and close; each refusal's code and figures make the error that they stand for.

--- a/tests/test_fleet_desk.py
+++ b/tests/test_fleet_desk.py
@@ -11,12 +11,13 @@
 from laurelcourse.fleet.books import forms
 from laurelcourse.fleet.books.apply import Books
 from laurelcourse.fleet.books.forms import Batch, Command, Done, Fence, GiveBack, Grant, Lapse, Open
-from laurelcourse.fleet.errors import LapsedLeaseError, OverloadedError
+from laurelcourse.fleet.errors import CODES, LapsedLeaseError, OverloadedError, made
 from laurelcourse.fleet.keeper.clock import Account
+from laurelcourse.fleet.keeper.desk import Desk
 from laurelcourse.fleet.keeper.forms import BOOKS, Bounds, Entry, Keepers, Kept, Mark, Snapshot, Write
 from laurelcourse.fleet.keeper.together import merged
-from laurelcourse.fleet.members import Members
-from laurelcourse.fleet.orders import Beat, Renewed, Share, Submit, Terms
+from laurelcourse.fleet.members import Member, Members
+from laurelcourse.fleet.orders import Acts, Answer, Beat, Question, Renewed, Share, Submit, Terms
 from laurelcourse.fleet.session import Session
 
 MS = 1_000
@@ -107,7 +108,8 @@
         now = one.due()
     longest = [min(TERMS.beat << min(times, 5), TERMS.lease) for times in range(8)]
     assert all(most // 2 <= pause < most for most, pause in zip(longest, pauses, strict=True))
-    assert len(set(marks)) == 1 and len({pause / most for pause, most in zip(pauses, longest, strict=True)}) > 4
+    assert len(set(marks)) == 1
+    assert len({pause / most for pause, most in zip(pauses, longest, strict=True)}) > 4
     order = one.orders(now)[0]
     one.answered(now, order.asked_at, (Done(code="name_taken"),))
     assert one.state == side.AWAY and one.orders(one.due())[0].commands[0].mark != marks[0]
@@ -172,7 +174,8 @@
 def test_leases_as_the_leader_counts_them() -> None:
     binds, one = TERMS.binds(), Members(TERMS, 1000, [2, 1])
     assert one.due() == 1000 + binds and one.over(1000 + binds - 1) == []
-    beats = [Beat(FENCE._replace(session=number), (("tries", 7),), 0, (("tries", 5),)) for number in range(10)]
+    beats = [Beat(FENCE._replace(session=number), (("tries", 7),), 0, (("tries", 5),))
+             for number in range(10)]
     assert one.renewed(5000, beats[1]) and one.renewed(4000, beats[1]._replace(demands=()))
     assert not one.renewed(5000, beats[9])
     assert (one.used_of(1, "tries"), one.used_of(2, "tries")) == (5, -1)
@@ -244,3 +247,378 @@
     if write is not None:
         joined.save(write)
     assert joined.kept == apart.kept
+
+
+# The desk around the real core
+
+KINDS = {one.__name__: one for one in
+         (forms.Open, forms.Close, forms.Lapse, forms.Define, forms.Grant, forms.GiveBack)}
+
+
+def encode(batch: Batch) -> bytes:
+    told = [[one.fence, one.mark, type(one.what).__name__, one.what] for one in batch.commands]
+    return json.dumps([batch.at, batch.term, told]).encode()
+
+
+def decode(data: bytes) -> Batch:
+    at, term, told = json.loads(data)
+    return Batch(at, term, tuple(Command(Fence(*fence) if fence else None, mark, what(kind, fields))
+                                 for fence, mark, kind, fields in told))
+
+
+def what(kind: str, fields: list) -> forms.What:
+    match kind:
+        case "Define":
+            return forms.Define(tuple(forms.Budget(*one) for one in fields[0]))
+        case "Grant":
+            return Grant(fields[0], tuple((one, share) for one, share in fields[1]))
+    return KINDS[kind](*fields)
+
+
+class Fleet:
+    """Keepers with disks in one thread; messages arrive at once, but from and to those cut off."""
+
+    def __init__(self, names: str = "abc", terms: Terms = TERMS) -> None:
+        self.now, self.terms = 0, terms._replace(keepers=Keepers(tuple(names)))
+        self.disks, self.desks, self.cut = {name: Disk(name) for name in names}, {}, set()
+        self.ways: deque = deque()
+        self.answers: dict[int, list] = {}
+        self.notes: list = []
+        self.tokens = 0
+        for name in names:
+            self.start(name)
+        self.until(lambda: any(desk.lead for desk in self.desks.values()))
+
+    def start(self, name: str) -> None:
+        chance = Chance(ord(name) + self.now)
+        self.desks[name] = Desk(name, "s", self.terms, chance, self.disks[name].kept, self.now,
+                                encode=encode, decode=decode)
+
+    def leader(self) -> Desk:
+        return max((desk for name, desk in self.desks.items() if desk.lead and name not in self.cut),
+                   key=lambda desk: desk.core.term)
+
+    def carry(self, name: str, acts: Acts) -> None:
+        if acts.write is not None:
+            self.disks[name].save(acts.write)
+        self.ways += [(name, to, message) for to, message in acts.send]
+        self.notes += acts.notes
+        for token, answer in acts.answers:
+            self.answers.setdefault(token, []).append(answer)
+
+    def call(self, verb: str, asked: object, desk: Desk | None = None) -> int:
+        """Its token; what it leads to without any time passing is carried out."""
+        self.tokens += 1
+        desk = desk or self.leader()
+        self.carry(desk.name, getattr(desk, verb)(self.now, self.tokens, asked))
+        self.deliver()
+        return self.tokens
+
+    def deliver(self) -> None:
+        while self.ways:
+            sender, to, message = self.ways.popleft()
+            if not {sender, to} & self.cut and to in self.desks:
+                self.carry(to, self.desks[to].hear(self.now, sender, message))
+
+    def pass_time(self, until: int) -> None:
+        while (due := min(desk.due() for desk in self.desks.values())) <= until:
+            self.now = max(self.now, due)
+            for name, desk in list(self.desks.items()):
+                if desk.due() <= self.now:
+                    self.carry(name, desk.tick(self.now))
+            self.deliver()
+        self.now = until
+
+    def until(self, reached: Callable[[], bool], within: int = 20_000 * MS) -> None:
+        end = self.now + within
+        while not reached():
+            assert self.now < end
+            self.pass_time(self.now + 5 * MS)
+
+    def ask(self, verb: str, asked: object) -> Answer:
+        token = self.call(verb, asked)
+        self.until(lambda: token in self.answers)
+        assert len(self.answers[token]) == 1
+        return self.answers[token][0]
+
+    def open(self, name: str, mark: int = 1) -> Fence:
+        return Fence(*self.ask("submit", submit(None, Open(name, "s"), mark))[0].value)
+
+    def renew(self, fence: Fence, **demands: int) -> Answer:
+        return self.ask("renew", Beat(fence, tuple(demands.items())))
+
+
+def submit(fence: Fence | None, what: object, mark: int = 1) -> Submit:
+    return Submit((Command(fence, mark, what),))
+
+
+@pytest.mark.parametrize("names", ["a", "abc"])
+def test_a_relay_comes_works_and_goes(names: str) -> None:
+    fleet = Fleet(names)
+    fence = fleet.open("r")
+    assert fence == (*fleet.ask("ask", Question("session", "r")).value[:-1],) and fence.boot == 1
+    assert fleet.leader().books.defined() == fleet.terms.budgets
+    assert fleet.renew(fence, tries=70) == Renewed(fleet.terms.lease, ())
+    fleet.pass_time(fleet.now + 3 * TERMS.beat)
+    shares = fleet.renew(fence, tries=70).shares
+    assert [(one.budget, one.granted >= 50) for one in shares] == [("tries", True)]
+    kept = fleet.ask("submit", Submit((Command(fence, 1, GiveBack("tries", 5)),
+                                       Command(fence, 2, GiveBack("held", 1)))))
+    assert [(done.value, done.code) for done in kept] == [((5,), ""), ((), "not_held")]
+    assert fleet.ask("submit", Submit(())) == ()
+    assert fleet.ask("ask", Question("budget", "tries")).value == (forms.RATE, 100, 10, 5, 0)
+    assert fleet.ask("ask", Question("keepers")).value[2:] == (",".join(names), "")
+    index, books = fleet.ask("ask", Question("hash")).value
+    fleet.pass_time(fleet.now + TERMS.bounds.beat)
+    assert {(desk.books.index, desk.books.hash()) for desk in fleet.desks.values()} == {(index, books)}
+    assert [done.code for done in fleet.ask("submit", submit(fence, forms.Close(), 3))] == [""]
+    assert fleet.ask("ask", Question("session", "r")).value == ()
+    assert not fleet.notes or {note.level for note in fleet.notes} == {"info"}
+
+
+REFUSALS = {
+    "out_of_order": lambda fence: ("submit", submit(None, Lapse(1))),
+    "lapsed_lease": lambda fence: ("renew", Beat(fence._replace(session=77))),
+    "fenced_off": lambda fence: ("submit", submit(fence._replace(session=0), forms.Close())),
+    "not_leader": lambda fence: ("renew", Beat(fence._replace(session=77, term=99))),
+    "too_large": lambda fence: ("submit", submit(None, Open("x" * (BOUNDS.batch + 1), ""))),
+    "no_such_budget": lambda fence: ("ask", Question("budget", "none")),
+    "unknown_command": lambda fence: ("ask", Question("colour")),
+    "unfit_change": lambda fence: ("change", Keepers(("x",)))}
+
+
+@pytest.mark.parametrize("code", REFUSALS)
+def test_what_is_refused_and_how(code: str) -> None:
+    fleet = Fleet()
+    fence = fleet.open("r")
+    index = fleet.leader().core.last
+    verb, asked = REFUSALS[code](fence)
+    done = fleet.answers[fleet.call(verb, asked)][0]       # at once, without any time passing
+    assert done.code == code and fleet.leader().core.last == index
+    assert isinstance(made(done.code, done.to, dict(done.told)), CODES[code])
+    assert fleet.renew(fence)._replace(shares=()) == Renewed(TERMS.lease, ())
+
+
+def test_others_than_the_leader_and_who_is_stopping_refuse_all() -> None:
+    fleet = Fleet()
+    leader = fleet.leader()
+    other = next(desk for desk in fleet.desks.values() if desk is not leader)
+    calls = (("submit", Submit(())), ("renew", Beat(FENCE)), ("ask", Question("hash")),
+             ("change", Keepers(("a", "b"))))
+    told = [fleet.answers[fleet.call(verb, asked, other)][0] for verb, asked in calls]
+    assert {(done.code, done.told) for done in told} == {("not_leader", (("leader", leader.name),))}
+    waiting = fleet.call("renew", Beat(FENCE._replace(term=0)), leader)
+    fleet.carry(leader.name, leader.stop(fleet.now))
+    told = [fleet.answers[fleet.call(verb, asked, leader)][0].code for verb, asked in calls]
+    assert set(told) == {"stopping"} and waiting in fleet.answers
+    fleet.until(lambda: any(desk.lead for desk in fleet.desks.values() if desk is not leader), 50 * MS)
+
+
+def test_too_many_at_once_are_refused_and_none_is_forgotten() -> None:
+    fleet = Fleet()
+    fence = fleet.open("r")
+    fleet.cut = set(fleet.desks) - {fleet.leader().name}
+    most = TERMS.bounds.waiting
+    beats = [fleet.call("renew", Beat(fence)) for _ in range(most + 1)]
+    opens = [fleet.call("submit", submit(None, Open(f"r{one}", ""))) for one in range(most + 2)]
+    assert [fleet.answers[token][0].code for token in (beats[-1], opens[-1])] == ["overloaded"] * 2
+    assert beats[0] not in fleet.answers and opens[0] not in fleet.answers
+    fleet.until(lambda: all(token in fleet.answers for token in beats + opens))
+    codes = [[fleet.answers[token][0].code for token in tokens] for tokens in (beats, opens)]
+    assert codes[0] == ["no_quorum"] + ["not_leader"] * (most - 1) + ["overloaded"]
+    assert codes[1][0] == "unknown_fate" and set(codes[1]) <= {"unknown_fate", "not_leader", "overloaded"}
+    assert all(len(found) == 1 for found in fleet.answers.values())
+
+
+# All orders of a small fleet: real sessions, members and books; the keepers' agreement is taken as one log,
+# and a change of leader as what it leaves: a new account of leases, and proposals that are lost.
+
+WHOLE, UNTIL = 2, 8   # time runs in whole microseconds, a beat is one of them
+SMALL = TERMS._replace(lease=3, drift=0, beat=1, budgets=(forms.Budget("x", forms.RATE, WHOLE, 0, 2, 0, 0),))
+
+
+def copied(one: Session | Member) -> Session | Member:
+    """Values are never changed in place but the containers that hold them."""
+    new = object.__new__(type(one))
+    for name in getattr(one, "__slots__", None) or vars(one):
+        value = getattr(one, name)
+        setattr(new, name, value.copy() if isinstance(value, dict | list) else value)
+    if isinstance(one, Session):
+        new.chance = Chance(0)
+        new.chance.word = one.chance.word
+    return new
+
+
+def plain(one: Session | Member) -> tuple:
+    """All that can make a difference to what it does."""
+    return tuple(tuple(sorted(value.items())) if isinstance(value, dict) else value
+                 for name in getattr(one, "__slots__", None) or sorted(vars(one))
+                 if not isinstance(value := getattr(one, name), Terms | Chance | list))
+
+
+class World:
+    __slots__ = ("answers", "books", "heard", "lapses", "left", "live", "now", "paused", "relays", "requests")
+
+    def __init__(self) -> None:
+        self.now, self.books, self.live, self.lapses = 0, Books(), {}, ()
+        self.books.apply(1, Batch(0, 1, (Command(None, 0, forms.Define(SMALL.budgets)),)))
+        self.relays = [Session(f"r{one}", "", SMALL, Chance(one), 0) for one in (0, 1)]
+        self.requests, self.heard, self.answers = [()] * 2, [None] * 2, [()] * 2
+        self.paused, self.left = False, ("pause", "restart", "lead")
+        self.act()
+
+    def copy(self) -> "World":
+        new = object.__new__(World)
+        for name in World.__slots__:
+            value = getattr(self, name)
+            setattr(new, name, value.copy() if isinstance(value, list) else value)
+        new.relays = [copied(one) for one in self.relays]
+        new.live = {session: copied(one) for session, one in self.live.items()}
+        return new
+
+    def key(self) -> tuple:
+        shares = tuple(self.books.shares("x"))
+        return (self.now, *map(plain, self.relays), tuple((k, plain(m)) for k, m in self.live.items()), shares,
+                self.lapses, *self.requests, *self.heard, *self.answers, self.paused, self.left,
+                tuple(one.fence for one in self.books.sessions()))
+
+    def members(self) -> Members:
+        members = Members(SMALL, 0, ())
+        members.live, members.soonest = self.live, 0
+        return members
+
+    def apply(self, *commands: Command) -> tuple[Done, ...]:
+        self.books = Books.restored(self.books.snapshot())
+        dones = self.books.apply(self.books.index + 1, Batch(self.now, 1, commands))
+        self.members().follow(self.now, [one.number for one in self.books.sessions()])
+        return dones
+
+    def act(self) -> None:
+        """Relays that run do what is due; an order unanswered is as good as lost then."""
+        for place, relay in enumerate(self.relays):
+            if not (place == 0 and self.paused):
+                relay.settled()
+                self.requests[place] = tuple(relay.orders(self.now)) or self.requests[place]
+
+    def steps(self) -> Iterator[tuple[str, Callable[["World"], None]]]:
+        if self.now < UNTIL:
+            yield "time", World.time
+        for place in (0, 1):
+            if self.requests[place]:
+                yield f"hear {place}", lambda new, place=place: new.hear(place)
+            if self.heard[place]:
+                yield f"confirm {place}", lambda new, place=place: new.confirm(place)
+            if self.answers[place] and not (place == 0 and self.paused):
+                yield f"answer {place}", lambda new, place=place: new.answer(place)
+            if "restart" in self.left:
+                yield f"restart {place}", lambda new, place=place: new.restart(place)
+        if self.lapses:
+            yield "lapse", World.lapse
+        if self.grants():
+            yield "divide", lambda new: new.apply(*new.grants())
+        if "lead" in self.left:
+            yield "lead", World.lead
+        if "pause" in self.left:                # of the first relay: they are alike
+            yield "pause", World.pause
+        if self.paused:
+            yield "wake", World.wake
+
+    def time(self) -> None:
+        self.now += 1
+        self.lapses += tuple(self.members().over(self.now))
+        self.act()
+
+    def hear(self, place: int) -> None:
+        orders, self.requests[place] = self.requests[place], ()
+        for order in orders:
+            if isinstance(order, Beat):
+                self.heard[place] = order, self.now
+            else:
+                self.answers[place] += ((order.asked_at, self.apply(*order.commands)),)
+
+    def confirm(self, place: int) -> None:
+        (beat, heard), self.heard[place] = self.heard[place], None
+        answer: Answer = Done(code="lapsed_lease")
+        if self.books.refusal(beat.fence) is None and self.members().renewed(heard, beat):
+            shares = self.books.shares_of(beat.fence.session)
+            answer = Renewed(SMALL.lease, tuple(Share(*one) for one in shares))
+        self.answers[place] += ((beat.asked_at, answer),)
+
+    def answer(self, place: int) -> None:
+        (asked_at, answer), *rest = self.answers[place]
+        self.answers[place], relay = tuple(rest), self.relays[place]
+        relay.answered(self.now, asked_at, answer)
+        share = relay.shares(self.now).get("x")
+        if share and share.wanted < share.granted and not relay.unknown:
+            # As if no answer had come: it goes with the next beats until one does.
+            relay.lost(relay.command(GiveBack("x", share.wanted), self.now), "unknown_fate")
+
+    def restart(self, place: int) -> None:
+        self.left = tuple(one for one in self.left if one != "restart")
+        self.paused = self.paused and place != 0
+        self.relays[place] = Session(f"r{place}", "", SMALL, Chance(7 + place), self.now)
+        self.answers[place] = ()
+
+    def lapse(self) -> None:
+        session, *rest = self.lapses
+        self.lapses = tuple(rest)
+        self.apply(Command(None, 0, Lapse(session)))
+
+    def grants(self) -> list[Command]:
+        granted = {one: (has, wants) for one, has, wants in self.books.shares("x")}
+        live = [one.number for one in self.books.sessions()]
+        free, changes = WHOLE - sum(has for has, _ in granted.values()), []
+        for session in live:
+            has, wants = granted.get(session, (0, 0))
+            aim = min(WHOLE // len(live), has + free)
+            free -= max(0, aim - has)
+            changes += [(session, aim)] if aim != wants else []
+        return [Command(None, 0, Grant("x", tuple(changes)))] if changes else []
+
+    def lead(self) -> None:
+        self.left = tuple(one for one in self.left if one != "lead")
+        self.lapses, self.heard = (), [None] * 2
+        self.live = {one.number: Member(self.now) for one in self.books.sessions()}
+
+    def pause(self) -> None:
+        self.left, self.paused = tuple(one for one in self.left if one != "pause"), True
+
+    def wake(self) -> None:
+        self.paused = False
+
+    def fault(self) -> str:
+        """What the relays that run may use now, looked at as each use looks at it."""
+        used = 0
+        for place, relay in enumerate(self.relays):
+            if not (place == 0 and self.paused):
+                relay = copied(relay)
+                used += sum(share.granted for share in relay.shares(self.now).values())
+                if relay.usable(self.now) and self.books.numbered(relay.fence.session) is None:
+                    return f"relay {place} thinks session {relay.fence.session} usable, which has lapsed"
+        return f"{used} of {WHOLE} in use" if used > WHOLE else ""
+
+
+def explored(most: int) -> tuple[int, list[str]]:
+    """Breadth first: how many states there are, and the shortest way to a fault, if there is one."""
+    first = World()
+    came: dict[tuple, tuple[tuple | None, str]] = {first.key(): (None, "")}
+    todo = deque([first])
+    while todo:
+        world = todo.popleft()
+        key = world.key()
+        for name, step in world.steps():
+            new = world.copy()
+            step(new)
+            there = new.key()
+            if there in came:
+                continue
+            came[there] = key, name
+            if fault := new.fault():
+                way = [fault]
+                while there is not None:
+                    there, name = came[there]
+                    way.append(name)
+                return len(came), way[::-1]
+            todo.append(new)
+            assert len(came) <= most
+    return len(came), []
