--- a/laurelcourse/fleet/errors.py
+++ b/laurelcourse/fleet/errors.py
@@ -121,6 +121,18 @@
     do = "the keeper has stopped taking part; look at the disk, then start the relay anew"
 
 
+class FolderInUseError(FleetError):
+    code = "folder_in_use"
+    what = "another process holds this folder"
+    do = "two relays have the same settings, or the one before has not ended: end one of them"
+
+
+class KeeperFaultError(FleetError):
+    code = "keeper_fault"
+    what = "a fault of the program ended this keeper's part: {fault}"
+    do = "report it with the trace in the log, then start the relay anew; other keepers go on"
+
+
 class BooksDifferError(FleetError):
     code = "books_differ"
     what = "at entry {index} these books come to {ours}, the leader's to {theirs}"
