--- a/laurelcourse/fleet/keeper/core.py
+++ b/laurelcourse/fleet/keeper/core.py
@@ -267,13 +267,18 @@
     def _hears_leader(self, now: int) -> bool:
         return self.role == LEADER or (bool(self.leader) and now < self._heard + self.bounds.patience)
 
+    def _may_lead(self) -> bool:
+        """A voter; or one whose removal is in its log but not known to be committed: it alone may hold that
+        entry, and the others wait for it (thesis, 4.2.2)."""
+        return any(self.me in keepers.voters for keepers in self.log.keepers_since(self.commit))
+
     def _campaign(self, now: int, trial: bool, handed: bool = False) -> None:
         self._rearm(now)
-        if self.me not in self.keepers.voters:
+        if not self._may_lead():
             self._become(now, FOLLOWER, self.term, "")
             return
         self._become(now, CANDIDATE, self.term if trial else self.term + 1, "")
-        self._trial, self._votes = trial, {self.me}
+        self._trial, self._votes = trial, {self.me} & set(self.keepers.voters)
         if not trial:
             self.vote = self.me
         ask = AskVote(self.term + trial, self.last, self.log.last_term, trial, handed)
@@ -491,19 +496,22 @@
     def _pulse(self, name: str) -> None:
         """A message without entries. Its answer tells what was lost on the way; with 0 before it, nothing."""
         one = self._progress[name]
-        before = 0 if one.state == PIECES or one.next <= self.log.first else one.next - 1
+        self._turn_to_pieces(one)
+        before = 0 if one.state == PIECES else one.next - 1
         term = self.log.term_at(before) if before else 0
         pulse = Append(self.term, before, term, (), self.commit, self._round, one.marks_sent)
         self._send.append((name, pulse))
 
+    def _turn_to_pieces(self, one: Progress) -> None:
+        """What it is to be sent next has been cut off, whatever is under way to it."""
+        if one.state != PIECES and one.next <= self.log.first and self.log.snapshot:
+            one.send_pieces(self.log.snapshot)
+
     def _feed(self, now: int, name: str) -> None:
         """Entries, or pieces, as far as may be under way at once."""
         one = self._progress[name]
+        self._turn_to_pieces(one)
         while one.state != PIECES and one.may_send() and one.next <= self.last:
-            if one.next <= self.log.first:
-                assert self.log.snapshot is not None
-                one.send_pieces(self.log.snapshot)
-                break
             entries = self.log.part(one.next, self.bounds.batch)
             self._send.append((name, Append(self.term, one.next - 1, self.log.term_at(one.next - 1), entries,
                                             self.commit, self._round)))
@@ -527,8 +535,8 @@
             held = answer.index if self.log.term_at(answer.index) == self.term else 0
             self.marks.note(sender, Mark("", self.term, held))
             self._advance(now)
-        elif not one.lacks(answer.index):
-            return
+        else:
+            one.lacks(answer.index)
         if self.role != LEADER:
             return
         self._feed(now, sender)
--- a/laurelcourse/fleet/keeper/log.py
+++ b/laurelcourse/fleet/keeper/log.py
@@ -89,6 +89,10 @@
     def keepers_at(self, index: int) -> Keepers:
         return [keepers for at, keepers in self._changes if at <= index][-1]
 
+    def keepers_since(self, index: int) -> list[Keepers]:
+        """As of `index`, and all that were named later."""
+        return [self.keepers_at(index), *(keepers for at, keepers in self._changes if at > index)]
+
     def take(self, snapshot: Snapshot) -> None:
         """The snapshot stands for all up to its index; what follows stays if it goes on from just there."""
         goes_on = self.term_at(snapshot.index) == snapshot.term
--- a/laurelcourse/fleet/keeper/progress.py
+++ b/laurelcourse/fleet/keeper/progress.py
@@ -61,13 +61,12 @@
             self.next = self.match + 1
         self.next = max(self.next, self.match + 1)
 
-    def lacks(self, hint: int) -> bool:
-        """It could not go on from there: back to `hint` at the most. False if the answer is out of date."""
-        if self.state == PIECES or hint < self.match:
-            return False
-        self.next = max(self.match, min(hint, self.next - 1)) + 1
-        self._be(PROBE)
-        return True
+    def lacks(self, hint: int) -> None:
+        """It could not go on from there: back to `hint` at the most, but never behind what it holds: the hint
+        passes over a whole term, part of which may match."""
+        if self.state != PIECES:
+            self.next = max(self.match, min(hint, self.next - 1)) + 1
+            self._be(PROBE)
 
     def send_pieces(self, snapshot: Snapshot) -> None:
         self._be(PIECES)
