Keeper core: rounds of former terms confirm no read; tables for each hard case

An answer to a leader gone by carried its round back; coming late, it could confirm reads of the later term in which that keeper leads again. It carries none now. Reads that wait have a file of their own.

--- a/laurelcourse/fleet/keeper/core.py
+++ b/laurelcourse/fleet/keeper/core.py
@@ -10,11 +10,10 @@
 
 The books of `Kept.snapshot` are the caller's to restore at start; `applied` counts from there. A keeper that
 was restarted hands out again all that is committed behind it. The parts: `log.py` the log, `progress.py`
-what a leader knows of the others, `changes.py` the keepers, `snapshot.py` pieces, `proving.py` older disks.
+what a leader knows of the others, `reads.py` reads that wait, `changes.py` the keepers, `snapshot.py` pieces,
+`proving.py` older disks.
 """
 
-from typing import NamedTuple
-
 from laurelcourse.chance import Chance
 from laurelcourse.fleet.keeper import changes, snapshot
 from laurelcourse.fleet.keeper.forms import (
@@ -46,16 +45,11 @@
 from laurelcourse.fleet.keeper.log import Log
 from laurelcourse.fleet.keeper.progress import PIECES, STREAM, Progress
 from laurelcourse.fleet.keeper.proving import Marks, older
+from laurelcourse.fleet.keeper.reads import Reads
 
 NEVER = 1 << 62  # microseconds
 
 
-class _Read(NamedTuple):
-    token: int
-    round: int   # of heartbeats that must be confirmed, begun after the read was asked; 0: none begun yet
-    index: int   # committed when that round began
-
-
 class Core:
     def __init__(self, me: str, bounds: Bounds, chance: Chance, kept: Kept, keepers: Keepers,
                  now: int) -> None:
@@ -77,7 +71,7 @@
         # of a leader
         self._progress: dict[str, Progress] = {}
         self._round, self._beat_at, self._beat_commit = 0, now, 0
-        self._reads: list[_Read] = []
+        self._reads = Reads()
         self._handing, self._handing_until = "", 0
         self._draft()
         self._prove(now)
@@ -148,8 +142,8 @@
             return self._refuse(token, "not_leader")
         if self._waiting() >= self.bounds.waiting:
             return self._refuse(token, "overloaded")
-        self._reads.append(_Read(token, 0, 0))
-        self._serve_reads(now)
+        self._reads.add(token)
+        self._serve_reads()
         return self._out()
 
     def change(self, now: int, token: int, keepers: Keepers) -> Out:
@@ -218,8 +212,8 @@
         if term > self.term:
             self.term, self.vote = term, ""
         if self.role == LEADER and role != LEADER:
-            self._refused += [(one.token, why) for one in self._reads]
-            self._reads, self._progress, self._handing = [], {}, ""
+            self._refused += [(token, why) for token in self._reads.drop()]
+            self._progress, self._handing = {}, ""
             self._heard = -NEVER
         if role in (FOLLOWER, CANDIDATE) and (role, leader) != (self.role, self.leader):
             self._rearm(now)
@@ -228,6 +222,10 @@
     def _rearm(self, now: int) -> None:
         self._deadline = now + self.bounds.patience + self.chance.below(self.bounds.patience)
 
+    def _rearm_trial(self, now: int) -> None:
+        """A trial changes nothing and may be refused only because others heard the leader a little later."""
+        self._deadline = now + (self.bounds.patience + self.chance.below(self.bounds.patience)) // 2
+
     # Proving
 
     def _held(self) -> Mark:
@@ -278,6 +276,8 @@
             self._become(now, FOLLOWER, self.term, "")
             return
         self._become(now, CANDIDATE, self.term if trial else self.term + 1, "")
+        if trial:
+            self._rearm_trial(now)
         self._trial, self._votes = trial, {self.me} & set(self.keepers.voters)
         if not trial:
             self.vote = self.me
@@ -327,7 +327,8 @@
         if message.term < self.term:
             # whoever still leads, or asks, in a term gone by hears of the later one and gives up
             if from_leader:
-                self._send.append((sender, Appended(self.term, False, self.commit, message.round)))
+                # no round: the sender may come to lead in this later term, and has counted rounds anew then
+                self._send.append((sender, Appended(self.term, False, self.commit, 0)))
             elif isinstance(message, AskVote):
                 self._send.append((sender, Vote(self.term, False, False)))
             return
@@ -357,7 +358,7 @@
                 else:
                     self._on_piece_taken(now, sender, message)
                 if self.role == LEADER:
-                    self._serve_reads(now)
+                    self._serve_reads()
 
     # Following
 
@@ -415,7 +416,7 @@
 
     def _lead(self, now: int) -> None:
         self._become(now, LEADER, self.term, self.me)
-        self._progress, self._round, self._reads, self._incoming = {}, 0, [], None
+        self._progress, self._round, self._incoming = {}, 0, None
         self._beat_commit = self.commit
         self._sync_progress(now)
         self._append(NOOP, b"")
@@ -474,7 +475,7 @@
             if self.me not in self.keepers.voters:
                 self._leave(now)
                 return
-        self._serve_reads(now)
+        self._serve_reads()
 
     def _leave(self, now: int) -> None:
         """Removed itself, and this is committed: the one furthest ahead is asked to lead."""
@@ -491,7 +492,7 @@
             self._pulse(name)
             self._feed(now, name)
         self._say_take_over()
-        self._serve_reads(now)
+        self._serve_reads()
 
     def _pulse(self, name: str) -> None:
         """A message without entries. Its answer tells what was lost on the way; with 0 before it, nothing."""
@@ -559,22 +560,18 @@
         if self._handing and self._progress[self._handing].match == self.last:
             self._send.append((self._handing, TakeOver(self.term)))
 
-    # Reads
-
-    def _serve_reads(self, now: int) -> None:
-        """Answers those whose round is confirmed; begins a round for the others, one at a time."""
+    def _serve_reads(self) -> None:
+        """Not before an entry of the own term is committed: until then this leader may not know the last."""
         if not self._reads or not self._settled():
             return
-        confirmed = self._agreed(self._round, {name: one.round for name, one in self._progress.items()})
-        for one in self._reads:
-            if 0 < one.round <= confirmed:
-                self._answered.append((one.token, one.index))
-        waiting = [one for one in self._reads if not 0 < one.round <= confirmed]
-        if waiting and not any(one.round for one in waiting):
+        self._answer_reads()
+        if self._reads.wants_round():
             self._round += 1
-            waiting = [one._replace(round=self._round, index=self.commit) for one in waiting]
+            self._reads.begin(self._round, self.commit)
             for name in self._others():
                 self._pulse(name)
-        self._reads = waiting
-        if waiting and not self._others():
-            self._serve_reads(now)
+            self._answer_reads()  # the only voter has nobody to wait for
+
+    def _answer_reads(self) -> None:
+        rounds = {name: one.round for name, one in self._progress.items()}
+        self._answered += self._reads.confirmed(self._agreed(self._round, rounds))
--- a/tests/test_fleet_core.py
+++ b/tests/test_fleet_core.py
@@ -1,165 +1,503 @@
 """The keepers' log in memory: each hard case of Raft by hand, then seeded runs with faults of every kind.
 
 `Fleet` carries out what cores return, holds disks in memory, and checks at every step what must always hold:
-one leader a term, one entry an index among all that was ever committed, no word before its write.
+one leader a term, one entry an index among all that were ever committed, no word before its write.
 """
 
+from collections.abc import Callable
+
+import pytest
 
 from laurelcourse.chance import Chance
 from laurelcourse.fleet.keeper import forms
-from laurelcourse.fleet.keeper.core import Core
-from laurelcourse.fleet.keeper.forms import (
-    BOOKS,
-    LEADER,
-    Bounds,
-    Entry,
-    Keepers,
-    Kept,
-    Snapshot,
-    Write,
-)
+from laurelcourse.fleet.keeper.core import NEVER, Core
+from laurelcourse.fleet.keeper.forms import BOOKS, FOLLOWER, LEADER, PROVING, REFUSED, Entry, Keepers, Kept
 
 MS = 1_000
-BOUNDS = Bounds(beat=50 * MS, patience=500 * MS, batch=150, ahead=4, piece=40, waiting=20)
-ABC = Keepers(("a", "b", "c"))
+BOUNDS = forms.Bounds(beat=50 * MS, patience=500 * MS, batch=150, ahead=4, piece=40, waiting=20)
+ABC, FIVE = Keepers(tuple("abc")), Keepers(tuple("abcde"))
+
+
+def log(*terms: int) -> tuple[Entry, ...]:
+    return tuple(Entry(at + 1, term, BOOKS, b"%d" % term) for at, term in enumerate(terms))
+
+
+def disk(name: str, *terms: int, term: int = 0, vote: str = "") -> Kept:
+    return Kept(f"disk-{name}", term or max(terms, default=0), vote, None, log(*terms), {})
 
 
-def written(kept: Kept, write: Write) -> Kept:
-    """The order that `forms.Write` names, as a store has to keep it."""
-    entries, snap = kept.entries, kept.snapshot
+def written(kept: Kept, write: forms.Write) -> Kept:
+    """In the order that `Write` names, as a store has to keep it."""
+    entries, snap = kept.entries, write.snapshot or kept.snapshot
     if write.snapshot:
-        snap = write.snapshot
         entries = () if write.snapshot_whole else tuple(one for one in entries if one.index > snap.index)
     if write.cut:
         entries = tuple(one for one in entries if one.index < write.cut)
     entries += write.entries
     first = snap.index if snap else 0
     assert [one.index for one in entries] == list(range(first + 1, first + 1 + len(entries)))
-    assert write.term >= kept.term and not (write.term == kept.term and kept.vote not in ("", write.vote))
-    return Kept(kept.disk, write.term, write.vote, snap, entries, kept.marks if write.marks is None else write.marks)
+    assert write.term > kept.term or kept.vote in ("", write.vote), "voted twice in a term"
+    marks = kept.marks if write.marks is None else write.marks
+    return Kept(kept.disk, write.term, write.vote, snap, entries, marks)
 
 
 class Fleet:
-    def __init__(self, keepers: Keepers = ABC, seed: int = 1, names: str = "", bounds: Bounds = BOUNDS) -> None:
-        self.now, self.seed, self.keepers, self.bounds = 0, seed, keepers, bounds
+    """With `faults`: messages late, lost, twice and out of order, and keepers that die around a write."""
+
+    def __init__(self, keepers: Keepers = ABC, seed: int = 1, names: str = "",
+                 disks: dict[str, Kept] | None = None) -> None:
+        self.now, self.keepers, self.chance, self.faults = 0, keepers, Chance(seed * 7919 + 13), False
         self.cores: dict[str, Core] = {}
-        self.disks: dict[str, Kept] = {}
-        self.books: dict[str, list[bytes]] = {}
-        self.wire: list[tuple[str, str, forms.Message]] = []
+        self.disks, self.books = dict(disks or {}), dict[str, list[bytes]]()
+        self.wire: list[tuple[int, int, str, str, forms.Message]] = []
+        self.sent, self.asleep = 0, dict[str, int]()
         self.cut: set[tuple[str, str]] = set()
-        self.leaders: dict[int, str] = {}
-        self.committed: dict[int, Entry] = {}
-        self.taken: dict[int, tuple[int, int]] = {}
-        self.reads: dict[int, int] = {}
+        self.leaders, self.committed = dict[int, str](), dict[int, Entry]()
+        self.taken, self.reads, self.asked = dict[int, tuple[int, int]](), dict[int, int](), dict[int, int]()
         self.refused: dict[int, str] = {}
         for name in names or (*keepers.voters, *keepers.learners):
             self.start(name)
 
-    def start(self, name: str, kept: Kept | None = None) -> Core:
-        """From what its disk holds, `kept` or an empty one."""
-        disk = kept or self.disks.get(name) or Kept(f"disk-{name}", 0, "", None, (), {})
-        self.seed += 1
-        self.disks[name] = disk
-        core = Core(name, self.bounds, Chance(self.seed), disk, self.keepers, self.now)
-        self.books[name] = self.opened(disk.snapshot)
-        self.cores[name] = core
-        return core
-
-    def opened(self, snap: Snapshot | None) -> list[bytes]:
-        return snap.data.split(b"|")[1:] if snap else []
-
-    def crash(self, name: str) -> None:
-        del self.cores[name]
+    def start(self, name: str, kept: Kept | None = None) -> None:
+        """From `kept`, else from what its disk holds, else with an empty one."""
+        kept = self.disks[name] = kept or self.disks.get(name) or disk(name)
+        chance = Chance(self.chance.below(1 << 30))
+        self.cores[name] = Core(name, BOUNDS, chance, kept, self.keepers, self.now)
+        self.books[name] = kept.snapshot.data.split(b"|")[1:] if kept.snapshot else []
 
     def carry(self, name: str, out: forms.Out) -> forms.Out:
+        fate = self.chance.below(400) if self.faults else -1
+        if fate == 0:  # it dies before its write
+            del self.cores[name]
+            return out
         if out.write:
             self.disks[name] = written(self.disks[name], out.write)
-        self.wire += [(name, to, message) for to, message in out.send]
+        core, kept = self.cores[name], self.disks[name]
+        assert (kept.term, kept.vote, kept.entries) == (core.term, core.vote, tuple(core.log.entries))
+        if fate == 1:  # or after it, before its messages
+            del self.cores[name]
+            return out
+        for to, message in out.send:
+            for _ in range((self.chance.below(10) > 0) + (self.chance.below(10) == 0) if self.faults else 1):
+                self.sent += 1
+                at = self.now + MS + (self.chance.below(60 * MS) if self.faults else 0)
+                self.wire.append((at, self.sent, name, to, message))
         if out.restore:
-            self.books[name] = self.opened(out.restore)
+            self.books[name] = out.restore.data.split(b"|")[1:]
         for one in out.apply:
             assert self.committed.setdefault(one.index, one) == one, "two entries committed at one index"
             self.books[name].append(one.data)
-            assert len(self.books[name]) == one.index, "applied out of order"
+            assert len(self.books[name]) == one.index, "not each once, in order"
+        for token, index in out.reads:
+            assert index >= self.asked[token], "older than what was committed when it was asked"
         self.taken |= {token: (index, term) for token, index, term in out.taken}
         self.reads |= dict(out.reads)
         self.refused |= dict(out.refused)
-        core = self.cores[name]
-        disk = self.disks[name]
-        assert (disk.term, disk.vote) == (core.term, core.vote), "not on disk when it was said"
-        assert disk.entries == tuple(core.log.entries)
         if core.role == LEADER:
             assert self.leaders.setdefault(core.term, name) == name, "two leaders in a term"
         return out
 
-    def tick(self, name: str) -> forms.Out:
-        return self.carry(name, self.cores[name].tick(self.now))
-
     def say(self, sender: str, to: str, message: forms.Message) -> forms.Out:
         return self.carry(to, self.cores[to].hear(self.now, sender, message))
 
-    def deliver(self, most: int = 100_000) -> None:
-        """All that is under way, and what comes of it, in order."""
-        while self.wire and most:
-            most -= 1
-            sender, to, message = self.wire.pop(0)
+    def sleepers(self) -> set[str]:
+        return {name for name, until in self.asleep.items() if until > self.now}
+
+    def step(self) -> None:
+        """On to the next moment at which something happens."""
+        awake = sorted(set(self.cores) - self.sleepers())
+        dues = [self.cores[name].due() for name in awake] + [one[0] for one in self.wire if one[3] in awake]
+        self.now = max(self.now, min([*dues, self.now + BOUNDS.beat]))
+        ripe = sorted(one for one in self.wire if one[0] <= self.now and one[3] not in self.sleepers())
+        self.wire = [one for one in self.wire if one not in ripe]
+        for _, _, sender, to, message in ripe:
             if to in self.cores and (sender, to) not in self.cut:
                 self.say(sender, to, message)
-        assert most, "messages without end"
-
-    def run(self, until: object = None, for_: int = 20_000 * MS) -> None:
-        """Delivers and ticks in time order until the condition holds; without one, for that long."""
-        end = self.now + for_
-        self.deliver()
-        while not (until and until()):
-            due = min(core.due() for core in self.cores.values())
-            if due > end:
-                assert until is None, "did not come about"
-                self.now = end
-                return
-            self.now = max(self.now, due)
-            for name in sorted(self.cores):
-                if name in self.cores and self.cores[name].due() <= self.now:
-                    self.tick(name)
-            self.deliver()
+        for name in awake:
+            if name in self.cores and self.cores[name].due() <= self.now:
+                self.carry(name, self.cores[name].tick(self.now))
+
+    def run(self, until: Callable[[], object], within: int = 60_000 * MS) -> None:
+        end = self.now + within
+        while not until():
+            self.step()
+            assert self.now < end, {name: (one.role, one.term, one.last) for name, one in self.cores.items()}
+
+    def rest(self, time: int = 3 * BOUNDS.beat) -> None:
+        end = self.now + time
+        self.run(lambda: self.now >= end)
 
     def leading(self) -> str:
         found = [name for name, one in sorted(self.cores.items()) if one.role == LEADER]
-        return max(found, key=lambda name: self.cores[name].term) if found else ""
+        return max(found, key=lambda name: self.cores[name].term, default="")
 
     def lead(self, name: str = "a") -> Core:
         """That keeper comes to lead, and all know it."""
         self.run(self.leading)
-        if self.leading() != name:
-            self.carry(self.leading(), self.cores[self.leading()].hand_over(self.now, name))
-            self.run(lambda: self.leading() == name)
-        self.run(for_=2 * self.bounds.beat)
+        self.rest()
+        self.carry(self.leading(), self.cores[self.leading()].hand_over(self.now, name))
+        self.run(lambda: self.leading() == name)
+        self.rest()
         return self.cores[name]
 
-    def propose(self, name: str, data: bytes, token: int = 0) -> forms.Out:
-        return self.carry(name, self.cores[name].propose(self.now, token, BOOKS, data))
-
-    def change(self, name: str, voters: str, learners: str = "", token: int = 0) -> str:
-        self.refused.pop(token, None)
-        self.carry(name, self.cores[name].change(self.now, token, Keepers(tuple(voters), tuple(learners))))
+    def propose(self, name: str, token: int) -> str:
+        """The code it was refused with, or ''."""
+        self.carry(name, self.cores[name].propose(self.now, token, BOOKS, b"%d" % token))
         return self.refused.get(token, "")
 
+    def read(self, name: str, token: int) -> None:
+        self.asked[token] = max(self.committed, default=0)
+        self.carry(name, self.cores[name].read(self.now, token))
+
+    def change(self, name: str, voters: str, learners: str = "") -> str:
+        self.refused.pop(-1, None)
+        keepers = Keepers(tuple(sorted(voters)), tuple(sorted(learners)))
+        self.carry(name, self.cores[name].change(self.now, -1, keepers))
+        return self.refused.get(-1, "")
+
+    def compact(self, name: str) -> None:
+        books = b"|" + b"|".join(self.books[name])
+        self.carry(name, self.cores[name].compact(self.now, self.cores[name].applied, books))
+
     def part(self, *names: str) -> None:
         """Nothing passes between these and the others."""
-        every = set(self.disks)
-        self.cut = {pair for one in names for other in every - set(names) for pair in ((one, other), (other, one))}
+        every = {*self.disks}
+        self.cut = {(one, other) for one in every for other in every if (one in names) != (other in names)}
 
     def same(self) -> bool:
-        return len({(one.last, one.commit) for one in self.cores.values()}) == 1 and len(
-            {tuple(books) for name, books in self.books.items() if name in self.cores}) == 1
+        """One leads, and all that it sends the log to have applied all of it."""
+        if not (lead := self.leading()):
+            return False
+        inside = [self.cores[name] for part in self.cores[lead].keepers for name in part]
+        last = self.cores[lead].last
+        return all(one.applied == one.last == last and one.role in (FOLLOWER, LEADER) for one in inside)
+
+
+SEEDS = 12  # of each fleet
+
+
+def begun(kept: Kept, keepers: Keepers = ABC) -> tuple[Fleet, Core]:
+    """The keeper `b` by itself, proved, with that disk; what it says is looked at by hand."""
+    fleet = Fleet(keepers, disks={"b": kept}, names="b")
+    for other in "ac":
+        fleet.say(other, "b", forms.Known(0, kept.disk, False, forms.Mark("", 0, 0)))
+    return fleet, fleet.cores["b"]
+
+
+def elected(kept: Kept) -> tuple[Fleet, Core]:
+    fleet, core = begun(kept)
+    fleet.run(lambda: fleet.cores["b"].role == "candidate")
+    for trial in (True, False):
+        fleet.say("a", "b", forms.Vote(core.term + trial, True, trial))
+    assert core.role == LEADER
+    return fleet, core
+
+
+@pytest.mark.parametrize("held, term, vote, ask, granted", [
+    ((1, 2), 0, "", (3, 2, 2, False), True),
+    ((1, 2), 0, "", (3, 9, 1, False), False),   # its last term is earlier
+    ((1, 2), 0, "", (3, 1, 2, False), False),   # its log is shorter
+    ((1, 2), 0, "", (1, 2, 2, False), False),   # a term gone by
+    ((1,), 3, "c", (3, 2, 2, False), False),    # voted for another
+    ((1,), 3, "a", (3, 2, 2, False), True),     # for this one, which asks again
+    ((1,), 3, "", (3, 2, 2, False), False),     # the disk may have been copied before its vote
+    ((1,), 0, "", (3, 2, 2, True), True),
+    ((1,), 3, "", (3, 2, 2, True), False),      # of the term that it has
+    ((1, 2), 0, "", (3, 2, 1, True), False)])
+def test_who_gets_a_vote(held: tuple, term: int, vote: str, ask: tuple, granted: bool) -> None:
+    fleet, core = begun(disk("b", *held, term=term, vote=vote))
+    asked = forms.AskVote(*ask, handed=False)
+    out = fleet.say("a", "b", asked)
+    assert out.send == (("a", forms.Vote(asked.term if granted else core.term, granted, asked.trial)),)
+    if asked.trial:
+        assert out.write is None
+    elif granted:
+        assert fleet.disks["b"][1:3] == (3, "a") and not fleet.say("c", "b", asked).send[0][1].granted
+
+
+@pytest.mark.parametrize("handed, trial, late, heeded", [
+    (False, False, 0, False), (False, True, 0, False), (True, False, 0, True), (False, False, 600, True)])
+def test_one_who_hears_its_leader_is_not_disturbed(
+        handed: bool, trial: bool, late: int, heeded: bool) -> None:
+    fleet, core = begun(disk("b", 1))
+    fleet.say("a", "b", forms.Append(2, 1, 1, (), 1, 1))
+    fleet.now += late * MS
+    fleet.say("c", "b", forms.AskVote(9, 9, 9, trial, handed))
+    assert (core.term, core.leader) == ((9, "") if heeded else (2, "a"))
+
+
+@pytest.mark.parametrize("held, term, before, terms, known, answer, left, commit", [
+    ((1, 1), 2, (2, 1), (1, 1, 2), 3, (True, 3), (1, 1, 2), 3),
+    ((1, 1), 2, (3, 2), (), 3, (False, 2), (1, 1), 0),                 # it has less
+    ((1, 1, 1, 1), 2, (3, 2), (), 0, (False, 0), (1, 1, 1, 1), 0),     # back past the whole term
+    ((1, 2, 2), 3, (3, 3), (), 1, (False, 1), (1, 2, 2), 0),
+    ((1, 1, 1), 2, (1, 1), (1, 2), 1, (True, 2), (1, 2), 1),           # a real conflict is cut
+    ((1, 1, 2), 2, (1, 1), (1, 1), 1, (True, 2), (1, 1, 2), 1),        # one that came late cuts nothing
+    ((1, 1, 1), 2, (1, 1), (), 3, (True, 1), (1, 1, 1), 1),            # never past what matches
+    ((1, 1), 2, (1, 1), (1, 1, 1, 2)[2:], 3, None, (1, 1), 0),         # no leader sends such
+    ((1, 2), 1, (1, 1), (1, 1), 2, (False, 0), (1, 2), 0)])            # a leader gone by
+def test_what_a_follower_takes(held: tuple, term: int, before: tuple, terms: tuple, known: int,
+                               answer: tuple | None, left: tuple, commit: int) -> None:
+    fleet, core = begun(disk("b", *held))
+    entries = log(*terms)[before[0]:] if answer else log(*terms)
+    out = fleet.say("a", "b", forms.Append(term, *before, entries, known, 7))
+    said = [forms.Appended(core.term, *answer, 7 if term == core.term else 0)] if answer else []
+    assert [message for _, message in out.send] == said
+    assert (tuple(one.term for one in core.log.entries), core.commit, core.applied) == (left, commit, commit)
+
+
+def test_what_is_committed_is_never_cut_and_counts_as_held() -> None:
+    fleet, core = begun(disk("b", 1, 1))
+    fleet.say("a", "b", forms.Append(1, 2, 1, (), 2, 1))
+    out = fleet.say("a", "b", forms.Append(1, 0, 0, log(5), 0, 1))
+    assert core.last == 2 and out.send[0][1] == forms.Appended(1, True, 2, 1)
+
+
+def test_entries_of_former_terms_are_committed_only_by_one_of_the_own() -> None:
+    fleet, core = elected(disk("b", 1, 2, term=3))
+    fleet.say("a", "b", forms.Appended(4, True, 2, 1))
+    assert core.commit == 0  # figure 8: a majority holds entry 2, and it may still be lost
+    assert [one.index for one in fleet.say("a", "b", forms.Appended(4, True, 3, 1)).apply] == [1, 2, 3]
+
+
+def test_a_read_is_confirmed_by_a_round_begun_after_it_and_after_the_first_commit_of_the_term() -> None:
+    fleet, core = elected(disk("b", 1))
+    fleet.read("b", 1)
+    assert not fleet.say("a", "b", forms.Appended(2, True, 1, 1)).reads and core.commit == 0
+    out = fleet.say("a", "b", forms.Appended(2, True, 3, 1))
+    assert core.commit == 3 and not out.reads and {to for to, _ in out.send} == set("ac")
+    fleet.read("b", 2)
+    assert not fleet.say("c", "b", forms.Appended(1, True, 3, 2)).reads  # of another term
+    assert fleet.say("c", "b", forms.Appended(2, True, 1, 2)).reads == ((1, 3),)
+    assert fleet.say("a", "b", forms.Appended(2, False, 1, 3)).reads == ((2, 3),)
 
 
-def test_one_comes_to_lead_and_all_apply_the_same() -> None:
+def test_a_word_to_a_leader_gone_by_confirms_no_read_of_the_term_in_which_it_leads_again() -> None:
+    word = begun(disk("c", 1, term=2))[0].say("a", "b", forms.Append(1, 1, 1, (), 1, 1_000)).send[0][1]
+    lead, one = elected(disk("b", 1))
+    lead.say("a", "b", forms.Appended(2, True, 3, 1))
+    lead.read("b", 1)
+    assert word.term == one.term and not lead.say("c", "b", word).reads
+
+
+def test_a_leader_cut_off_answers_nothing_and_steps_down_and_disturbs_nobody_when_it_returns() -> None:
     fleet = Fleet()
-    fleet.lead("b")
-    for number in range(30):
-        fleet.propose("b", b"%d" % number, number)
-        if number % 7 == 0:
-            fleet.deliver()
+    old = fleet.lead("a")
+    fleet.part("a")
+    fleet.read("a", 1)
+    assert fleet.propose("a", 2) == ""
+    fleet.run(lambda: old.role != LEADER, BOUNDS.patience)
+    assert fleet.refused == {1: "no_quorum"} and old.leader == ""
+    fleet.run(lambda: fleet.leading() in ("b", "c"), 4 * BOUNDS.patience)
+    fleet.propose(fleet.leading(), 3)
+    fleet.rest(10 * BOUNDS.patience)
+    before = fleet.cores[fleet.leading()].term
+    fleet.cut = set()
+    fleet.run(fleet.same)
+    assert fleet.cores[fleet.leading()].term == before and fleet.books["a"][-1:] == [b"3"]
+
+
+def test_leadership_is_handed_to_one_brought_up_to_date_and_nothing_is_taken_meanwhile() -> None:
+    fleet = Fleet()
+    old, start = fleet.lead("a"), fleet.now
+    fleet.propose("a", 1)
+    fleet.carry("a", old.hand_over(fleet.now, "c"))
+    assert fleet.propose("a", 2) == "not_leader" and fleet.change("a", "ab") == "not_leader"
+    fleet.run(lambda: fleet.leading() == "c", BOUNDS.patience // 2)
+    fleet.run(fleet.same)
+    assert b"1" in fleet.books["c"] and fleet.now - start < BOUNDS.patience
+    fleet.part("b")
+    fleet.carry("c", fleet.cores["c"].hand_over(fleet.now, "b"))  # it can't be reached: leads on
+    fleet.rest(BOUNDS.patience)
+    assert fleet.leading() == "c" and fleet.propose("c", 3) == ""
+
+
+def test_keepers_come_and_go_one_at_a_time() -> None:
+    fleet = Fleet(names="abcde")
+    lead = fleet.lead("a")
+    for voters, learners, code in [
+            ("abcd", "", "unfit_change"),       # was no learner
+            ("abc", "de", "unfit_change"),      # two
+            ("abc", "", "unfit_change"),        # none
+            ("abc", "c", "unfit_change"), ("", "abc", "unfit_change"),
+            ("abc", "d", ""), ("abc", "de", "change_under_way")]:
+        assert fleet.change("a", voters, learners) == code
+    assert fleet.change("a", "abcd") == "change_under_way"
+    fleet.rest()
+    fleet.part("d")
+    for token in range(9):
+        fleet.propose("a", token)
+    fleet.rest()
+    assert fleet.change("a", "abcd") == "unfit_change"  # has not caught up
+    fleet.cut = set()
+    fleet.rest()
+    assert fleet.change("a", "abcd") == "" and lead.keepers.voters == tuple("abcd")
+    fleet.rest()
+    fleet.cut = {("b", "a"), ("c", "a")}
+    fleet.rest(BOUNDS.patience - 3 * BOUNDS.beat)
+    fleet.cut = set()
+    fleet.rest()
+    assert lead.role == LEADER and fleet.change("a", "bcd") == ""
+    fleet.run(lambda: fleet.leading() in tuple("bcd") and lead.role == FOLLOWER, BOUNDS.patience)
+    fleet.rest(9 * BOUNDS.patience)
+    assert fleet.leading() in tuple("bcd") and fleet.cores[fleet.leading()].keepers.voters == tuple("bcd")
+
+
+def test_no_change_before_an_entry_of_the_own_term_is_committed() -> None:
+    fleet, _ = elected(disk("b", 1))
+    assert fleet.change("b", "abc", "d") == "change_under_way"
+    fleet.say("a", "b", forms.Appended(2, True, 3, 1))
+    assert fleet.change("b", "abc", "d") == "" and fleet.change("b", "abc") == "change_under_way"
+
+
+def test_one_whose_removal_is_not_committed_leads_on_to_commit_it() -> None:
+    fleet = Fleet()
+    fleet.lead("a")
+    fleet.run(fleet.same)
+    fleet.cut = {("a", "b"), ("a", "c")}
+    assert fleet.change("a", "bc") == ""
+    for name in "abc":
+        fleet.start(name)
+    fleet.cut = set()
+    fleet.run(lambda: fleet.leading() in ("b", "c") and fleet.same())
+    assert fleet.cores[fleet.leading()].keepers == Keepers(("b", "c"))
+
+
+@pytest.mark.parametrize("lost", range(5))
+def test_one_far_behind_is_sent_a_snapshot_though_a_piece_is_lost_or_comes_twice(lost: int) -> None:
+    fleet = Fleet()
+    fleet.lead("a")
+    fleet.part("c")
+    for token in range(60):
+        fleet.propose("a", token)
+        fleet.step()
+    fleet.rest()
+    fleet.compact("a")
+    fleet.propose("a", 61)
+    fleet.cut, seen = set(), 0
+    while fleet.cores["c"].commit < fleet.cores["a"].last:
+        fleet.step()
+        for one in [one for one in fleet.wire if isinstance(one[4], forms.Piece)]:
+            seen += 1
+            if seen == lost:
+                fleet.wire.remove(one)
+            elif seen == lost + 1:
+                fleet.wire.append((one[0] + 30 * MS, 10**6 + seen, *one[2:]))
+        assert fleet.now < 60_000 * MS and seen < 30
+    assert fleet.books["c"] == fleet.books["a"] and fleet.disks["c"].snapshot and seen >= lost
+
+
+def test_messages_run_ahead_within_bounds_and_what_waits_is_bounded() -> None:
+    fleet = Fleet()
+    lead = fleet.lead("a")
+    fleet.part("c")
+    for token in range(100, 100 + BOUNDS.waiting):
+        assert fleet.propose("a", token) == ""
+    assert fleet.propose("a", 1) == "overloaded"
+    fleet.read("a", 2)
+    assert fleet.refused[2] == "overloaded"
+    with_entries = [one[4] for one in fleet.wire if one[3] == "b" and one[4].entries]
+    assert len(with_entries) == BOUNDS.ahead
+    fleet.run(lambda: lead.commit == lead.last, BOUNDS.patience)
+    assert all(sum(len(one.data) for one in part.entries) <= BOUNDS.batch for part in with_entries)
+
+
+def test_a_follower_whose_log_went_another_way_is_brought_back_in_few_messages() -> None:
+    kept = {"a": disk("a", 1, *[3] * 40), "b": disk("b", 1, *[3] * 40), "c": disk("c", 1, *[2] * 60, term=3)}
+    fleet = Fleet(disks=kept)
+    fleet.run(fleet.leading)
+    refused = set[int]()
+    while not fleet.same():
+        fleet.step()
+        refused |= {one[1] for one in fleet.wire if isinstance(one[4], forms.Appended) and not one[4].ok}
+    assert len(refused) <= 3 and fleet.books["c"] == fleet.books["a"]
+
+
+@pytest.mark.parametrize("comes_back, role", [("same", FOLLOWER), ("older", REFUSED), ("wiped", REFUSED),
+                                              ("a term back", REFUSED)])
+def test_an_older_disk_is_found_out_and_takes_no_part(comes_back: str, role: str) -> None:
+    fleet = Fleet()
+    fleet.lead("a")
+    fleet.rest()
+    former = fleet.disks["c"]
+    if comes_back == "a term back":
+        fleet.lead("b")
+    for token in range(5):
+        fleet.propose(fleet.leading(), token)
+        fleet.rest()
+    kept = {"same": fleet.disks["c"], "wiped": disk("c")._replace(disk="another")}.get(comes_back, former)
+    leader = fleet.leading()
+    del fleet.cores[leader]  # whoever is left must know it
+    fleet.start("c", kept)
+    assert fleet.cores["c"].role == PROVING
+    assert not fleet.say("b", "c", forms.AskVote(99, 99, 99, False, True)).send
+    fleet.rest()
+    assert fleet.cores["c"].role == role and (role == FOLLOWER or fleet.cores["c"].due() == NEVER)
+    fleet.start(leader)
+    fleet.rest(9 * BOUNDS.patience)
+    assert fleet.leading() and (fleet.cores["c"].role == REFUSED) == (role == REFUSED)
+
+
+def test_one_alone_leads_at_once_and_what_it_commits_is_in_the_same_write() -> None:
+    fleet = Fleet(Keepers(("a",)))
+    fleet.step()
+    out = fleet.carry("a", fleet.cores["a"].propose(fleet.now, 1, BOOKS, b"x"))
+    assert out.apply == out.write.entries and out.taken == ((1, 3, 1),)
+    fleet.read("a", 2)
+    assert fleet.reads == {2: 3} and fleet.now == 0
+    fleet.start("a")
+    fleet.run(fleet.same)
+    assert fleet.books["a"][2] == b"x"
+
+
+def fault(fleet: Fleet, token: int) -> None:
+    """Something that operators, relays or machines do to a keeper."""
+    every, chance, lead = sorted(fleet.disks), fleet.chance, fleet.leading()
+    one, what = every[chance.below(len(every))], chance.below(60)
+    if one not in fleet.cores:
+        if what < 20:
+            fleet.start(one)
+    elif what < 20:
+        fleet.propose(lead or one, token)
+    elif what < 30:
+        fleet.read(one, token)
+    elif what < 33:
+        fleet.part(one, every[chance.below(len(every))])
+        fleet.cut = {pair for pair in fleet.cut if what == 30 or one in pair[what - 31:what - 30]}
+    elif what < 37:
+        fleet.cut = set()
+    elif what < 39:
+        fleet.compact(one)
+    elif what == 39:
+        fleet.asleep[one] = fleet.now + chance.below(2 * BOUNDS.patience)
+    elif what == 40:
+        fleet.carry(one, fleet.cores[one].hand_over(fleet.now))
+    elif what < 45 and lead:
+        voters, learners = (set(part) for part in fleet.cores[lead].keepers)
+        if one in voters:
+            learners |= {one} if what == 43 else set()
+            voters.discard(one)
+        else:
+            voters |= {one} & learners
+            learners ^= {one}
+        fleet.change(lead, "".join(voters), "".join(learners))
+
+
+@pytest.mark.parametrize("keepers, names", [(ABC, "abcde"), (FIVE, "abcdef"), (Keepers(("a",)), "abc"),
+                                            (Keepers(("a", "b")), "abc")])
+@pytest.mark.parametrize("seed", range(SEEDS))
+def test_whatever_happens_one_log_is_left_and_nothing_committed_is_lost(
+        keepers: Keepers, names: str, seed: int) -> None:
+    fleet = Fleet(keepers, seed, names)
+    fleet.faults = True
+    for token in range(1, 600):
+        fleet.step()
+        if fleet.chance.below(4) == 0:
+            fault(fleet, token)
+    fleet.faults, fleet.cut = False, set()
+    for name in set(fleet.disks) - set(fleet.cores):
+        fleet.start(name)
     fleet.run(fleet.same)
-    assert fleet.books["c"][-len(fleet.taken):] == [b"%d" % number for number in sorted(fleet.taken)]
+    inside = [name for part in fleet.cores[fleet.leading()].keepers for name in part]
+    assert all(fleet.books[name] == [fleet.committed[at].data for at in sorted(fleet.committed)]
+               for name in inside) and len(fleet.committed) > 5
