--- a/laurelcourse/fleet/keeper/core.py
+++ b/laurelcourse/fleet/keeper/core.py
@@ -10,11 +10,10 @@
 
 The books of `Kept.snapshot` are the caller's to restore at start; `applied` counts from there. A keeper that
 was restarted hands out again all that is committed behind it. The parts: `log.py` the log, `progress.py`
-what a leader knows of the others, `changes.py` the keepers, `snapshot.py` pieces, `proving.py` older disks.
+what a leader knows of the others, `reads.py` reads that wait, `changes.py` the keepers, `snapshot.py` pieces,
+`proving.py` older disks.
 """
 
-from typing import NamedTuple
-
 from laurelcourse.chance import Chance
 from laurelcourse.fleet.keeper import changes, snapshot
 from laurelcourse.fleet.keeper.forms import (
@@ -46,16 +45,11 @@
 from laurelcourse.fleet.keeper.log import Log
 from laurelcourse.fleet.keeper.progress import PIECES, STREAM, Progress
 from laurelcourse.fleet.keeper.proving import Marks, older
+from laurelcourse.fleet.keeper.reads import Reads
 
 NEVER = 1 << 62  # microseconds
 
 
-class _Read(NamedTuple):
-    token: int
-    round: int   # of heartbeats that must be confirmed, begun after the read was asked; 0: none begun yet
-    index: int   # committed when that round began
-
-
 class Core:
     def __init__(self, me: str, bounds: Bounds, chance: Chance, kept: Kept, keepers: Keepers,
                  now: int) -> None:
@@ -77,7 +71,7 @@
         # of a leader
         self._progress: dict[str, Progress] = {}
         self._round, self._beat_at, self._beat_commit = 0, now, 0
-        self._reads: list[_Read] = []
+        self._reads = Reads()
         self._handing, self._handing_until = "", 0
         self._draft()
         self._prove(now)
@@ -148,8 +142,8 @@
             return self._refuse(token, "not_leader")
         if self._waiting() >= self.bounds.waiting:
             return self._refuse(token, "overloaded")
-        self._reads.append(_Read(token, 0, 0))
-        self._serve_reads(now)
+        self._reads.add(token)
+        self._serve_reads()
         return self._out()
 
     def change(self, now: int, token: int, keepers: Keepers) -> Out:
@@ -218,8 +212,8 @@
         if term > self.term:
             self.term, self.vote = term, ""
         if self.role == LEADER and role != LEADER:
-            self._refused += [(one.token, why) for one in self._reads]
-            self._reads, self._progress, self._handing = [], {}, ""
+            self._refused += [(token, why) for token in self._reads.drop()]
+            self._progress, self._handing = {}, ""
             self._heard = -NEVER
         if role in (FOLLOWER, CANDIDATE) and (role, leader) != (self.role, self.leader):
             self._rearm(now)
@@ -228,6 +222,10 @@
     def _rearm(self, now: int) -> None:
         self._deadline = now + self.bounds.patience + self.chance.below(self.bounds.patience)
 
+    def _rearm_trial(self, now: int) -> None:
+        """A trial changes nothing and may be refused only because others heard the leader a little later."""
+        self._deadline = now + (self.bounds.patience + self.chance.below(self.bounds.patience)) // 2
+
     # Proving
 
     def _held(self) -> Mark:
@@ -267,13 +265,20 @@
     def _hears_leader(self, now: int) -> bool:
         return self.role == LEADER or (bool(self.leader) and now < self._heard + self.bounds.patience)
 
+    def _may_lead(self) -> bool:
+        """A voter; or one whose removal is in its log but not known to be committed: it alone may hold that
+        entry, and the others wait for it (thesis, 4.2.2)."""
+        return any(self.me in keepers.voters for keepers in self.log.keepers_since(self.commit))
+
     def _campaign(self, now: int, trial: bool, handed: bool = False) -> None:
         self._rearm(now)
-        if self.me not in self.keepers.voters:
+        if not self._may_lead():
             self._become(now, FOLLOWER, self.term, "")
             return
         self._become(now, CANDIDATE, self.term if trial else self.term + 1, "")
-        self._trial, self._votes = trial, {self.me}
+        if trial:
+            self._rearm_trial(now)
+        self._trial, self._votes = trial, {self.me} & set(self.keepers.voters)
         if not trial:
             self.vote = self.me
         ask = AskVote(self.term + trial, self.last, self.log.last_term, trial, handed)
@@ -322,7 +327,8 @@
         if message.term < self.term:
             # whoever still leads, or asks, in a term gone by hears of the later one and gives up
             if from_leader:
-                self._send.append((sender, Appended(self.term, False, self.commit, message.round)))
+                # no round: the sender may come to lead in this later term, and has counted rounds anew then
+                self._send.append((sender, Appended(self.term, False, self.commit, 0)))
             elif isinstance(message, AskVote):
                 self._send.append((sender, Vote(self.term, False, False)))
             return
@@ -352,7 +358,7 @@
                 else:
                     self._on_piece_taken(now, sender, message)
                 if self.role == LEADER:
-                    self._serve_reads(now)
+                    self._serve_reads()
 
     # Following
 
@@ -410,7 +416,7 @@
 
     def _lead(self, now: int) -> None:
         self._become(now, LEADER, self.term, self.me)
-        self._progress, self._round, self._reads, self._incoming = {}, 0, [], None
+        self._progress, self._round, self._incoming = {}, 0, None
         self._beat_commit = self.commit
         self._sync_progress(now)
         self._append(NOOP, b"")
@@ -469,7 +475,7 @@
             if self.me not in self.keepers.voters:
                 self._leave(now)
                 return
-        self._serve_reads(now)
+        self._serve_reads()
 
     def _leave(self, now: int) -> None:
         """Removed itself, and this is committed: the one furthest ahead is asked to lead."""
@@ -486,24 +492,27 @@
             self._pulse(name)
             self._feed(now, name)
         self._say_take_over()
-        self._serve_reads(now)
+        self._serve_reads()
 
     def _pulse(self, name: str) -> None:
         """A message without entries. Its answer tells what was lost on the way; with 0 before it, nothing."""
         one = self._progress[name]
-        before = 0 if one.state == PIECES or one.next <= self.log.first else one.next - 1
+        self._turn_to_pieces(one)
+        before = 0 if one.state == PIECES else one.next - 1
         term = self.log.term_at(before) if before else 0
         pulse = Append(self.term, before, term, (), self.commit, self._round, one.marks_sent)
         self._send.append((name, pulse))
 
+    def _turn_to_pieces(self, one: Progress) -> None:
+        """What it is to be sent next has been cut off, whatever is under way to it."""
+        if one.state != PIECES and one.next <= self.log.first and self.log.snapshot:
+            one.send_pieces(self.log.snapshot)
+
     def _feed(self, now: int, name: str) -> None:
         """Entries, or pieces, as far as may be under way at once."""
         one = self._progress[name]
+        self._turn_to_pieces(one)
         while one.state != PIECES and one.may_send() and one.next <= self.last:
-            if one.next <= self.log.first:
-                assert self.log.snapshot is not None
-                one.send_pieces(self.log.snapshot)
-                break
             entries = self.log.part(one.next, self.bounds.batch)
             self._send.append((name, Append(self.term, one.next - 1, self.log.term_at(one.next - 1), entries,
                                             self.commit, self._round)))
@@ -527,8 +536,8 @@
             held = answer.index if self.log.term_at(answer.index) == self.term else 0
             self.marks.note(sender, Mark("", self.term, held))
             self._advance(now)
-        elif not one.lacks(answer.index):
-            return
+        else:
+            one.lacks(answer.index)
         if self.role != LEADER:
             return
         self._feed(now, sender)
@@ -551,22 +560,18 @@
         if self._handing and self._progress[self._handing].match == self.last:
             self._send.append((self._handing, TakeOver(self.term)))
 
-    # Reads
-
-    def _serve_reads(self, now: int) -> None:
-        """Answers those whose round is confirmed; begins a round for the others, one at a time."""
+    def _serve_reads(self) -> None:
+        """Not before an entry of the own term is committed: until then this leader may not know the last."""
         if not self._reads or not self._settled():
             return
-        confirmed = self._agreed(self._round, {name: one.round for name, one in self._progress.items()})
-        for one in self._reads:
-            if 0 < one.round <= confirmed:
-                self._answered.append((one.token, one.index))
-        waiting = [one for one in self._reads if not 0 < one.round <= confirmed]
-        if waiting and not any(one.round for one in waiting):
+        self._answer_reads()
+        if self._reads.wants_round():
             self._round += 1
-            waiting = [one._replace(round=self._round, index=self.commit) for one in waiting]
+            self._reads.begin(self._round, self.commit)
             for name in self._others():
                 self._pulse(name)
-        self._reads = waiting
-        if waiting and not self._others():
-            self._serve_reads(now)
+            self._answer_reads()  # the only voter has nobody to wait for
+
+    def _answer_reads(self) -> None:
+        rounds = {name: one.round for name, one in self._progress.items()}
+        self._answered += self._reads.confirmed(self._agreed(self._round, rounds))
