--- a/laurelcourse/fleet/budgets/holder.py
+++ b/laurelcourse/fleet/budgets/holder.py
@@ -90,5 +90,5 @@
         old = now - IDLE_LEASES * self.session.terms.lease
         for scope in [scope for scope, at in self.asked_at.items() if at < old]:
             use = self.uses[scope]
-            if not (use.granted or use.held or use.counted or use.budget.kind == LEVEL and use.held):
+            if not (use.granted or use.held or use.counted or (use.budget.kind == LEVEL and use.held)):
                 del self.uses[scope], self.asked_at[scope]
--- a/laurelcourse/fleet/calls/codec.py
+++ b/laurelcourse/fleet/calls/codec.py
@@ -210,6 +210,9 @@
     return _form(hint, where)
 
 
+OWN = {(orders.Beat, "asked_at"), (orders.Submit, "asked_at")}  # the asker's alone: they are not sent
+
+
 class Layout(NamedTuple):
     """Of each field: its name, how it is written, how it is read, is it a message, may it be absent."""
 
@@ -219,6 +222,7 @@
 
 def _layout(form: type, message: type[Message]) -> Layout:
     hints, fields = get_type_hints(form), message.DESCRIPTOR.fields_by_name
+    hints = {name: hint for name, hint in hints.items() if (form, name) not in OWN}
     if set(hints) != set(fields):
         raise TypeError(f"{form.__name__} and its message differ: {sorted(set(hints) ^ set(fields))}")
     rows = []
@@ -231,21 +235,21 @@
 
 def _write(form: object) -> Message:
     layout = LAYOUTS[type(form)]
-    fields = zip(layout.fields, form, strict=True)
-    return layout.message(**{name: to(value) for (name, to, _, _, spare), value in fields
+    fields = ((name, to, spare, getattr(form, name)) for name, to, _, _, spare in layout.fields)
+    return layout.message(**{name: to(value) for name, to, spare, value in fields
                              if not (spare and value is None)})
 
 
 def _read(form: type, message: Message) -> object:
-    values = []
+    values = {}
     for name, _, of, single, spare in LAYOUTS[form].fields:
         if single and not message.HasField(name):
             if not spare:
                 raise unreadable(form.__name__, f"no {name}")
-            values.append(None)
+            values[name] = None
         else:
-            values.append(of(getattr(message, name)))
-    return form(*values)
+            values[name] = of(getattr(message, name))
+    return form(**values)
 
 
 LAYOUTS: dict[type, Layout] = {}
--- a/laurelcourse/fleet/member.py
+++ b/laurelcourse/fleet/member.py
@@ -1,65 +1,99 @@
 """A relay's session carried out: its orders go to the keepers, what comes back arrives as letters.
 
-One greenlet task; nothing here decides (see `session.py`). The log hears of each change of state once."""
+One greenlet task; nothing here decides (see `session.py`, `budgets/holder.py`). The log hears of each change of state once."""
 
 import logging
 import threading
 from collections.abc import Callable
 
+from laurelcourse.fleet.books.forms import Done, GiveBack
+from laurelcourse.fleet.budgets.holder import Holder
 from laurelcourse.fleet.calls.client import Client
 from laurelcourse.fleet.calls.mailbox import Letters
 from laurelcourse.fleet.errors import FleetError
 from laurelcourse.fleet.orders import Answer, Beat, Submit
-from laurelcourse.fleet.session import CLOSING, HELD, Session
+from laurelcourse.fleet.session import CLOSING, Session
 from laurelcourse.net.counters import Counters
 from laurelcourse.net.scheduler import Scheduler
 
 log = logging.getLogger(__name__)
 
+Heard = Callable[[Submit | Beat, Answer | FleetError], None]
+
 
 class Member:
-    def __init__(self, scheduler: Scheduler, session: Session, client: Client, letters: Letters,
-                 clock: Callable[[], int], counters: Counters) -> None:
+    def __init__(self, scheduler: Scheduler, session: Session, holder: Holder, client: Client,
+                 letters: Letters, clock: Callable[[], int], counters: Counters) -> None:
         """`clock`: monotonic microseconds, the one that the session's leases are counted by."""
-        self.scheduler, self.session, self.client, self.letters = scheduler, session, client, letters
-        self.clock, self.counters = clock, counters
+        self.scheduler, self.session, self.holder = scheduler, session, holder
+        self.client, self.letters, self.clock, self.counters = client, letters, clock, counters
         self.told, self.fault = session.state, ""
 
     def work(self) -> None:
         """Until the letters are closed."""
         while not self.letters.closed:
-            for order in self.session.orders(self.clock()):
-                self._send(order)
+            now = self.clock()
+            if now >= self.session.due():
+                self.holder.beat(now)
+            for order in self.session.orders(now):
+                self._send(order, self._heard)
+            self._give_back()
             self._tell()
             wait = max(self.session.due() - self.clock(), 0)
             came = self.letters.get(self.scheduler.now() + wait)
             if came is not None:
-                self._heard(*came)
+                heard, order, answer = came
+                heard(order, answer)
 
-    def _send(self, order: Submit | Beat) -> None:
+    def _send(self, order: Submit | Beat, heard: Heard) -> None:
         give = self.client.renew if isinstance(order, Beat) else self.client.submit
         try:
-            give(order, lambda answer: self._put(order, answer))
+            give(order, lambda answer: self._put(heard, order, answer))
         except FleetError as error:
-            self._heard(order, error)
+            heard(order, error)
 
-    def _put(self, order: Submit | Beat, answer: Answer | FleetError) -> None:
+    def _put(self, heard: Heard, order: Submit | Beat, answer: Answer | FleetError) -> None:
         """From a thread of the client. An answer that finds no room is as one that was lost on its way."""
         try:
-            self.letters.put((order, answer))
+            self.letters.put((heard, order, answer))
         except FleetError:
             self.counters.add("fleet.answers_lost")
 
     def _heard(self, order: Submit | Beat, answer: Answer | FleetError) -> None:
+        """Of an order that the session made."""
+        now = self.clock()
         if isinstance(answer, FleetError):
-            self.session.failed(self.clock(), order.asked_at, answer.code)
+            self.session.failed(now, order.asked_at, answer.code)
             self._doubt(answer)
-            return
-        self.session.answered(self.clock(), order.asked_at, answer)
-        if self.fault and self.session.state == HELD:
+        else:
+            self.session.answered(now, order.asked_at, answer)
+        self.holder.renewed(now)
+        for command, _ in self.session.settled():
+            if isinstance(command.what, GiveBack):
+                self.holder.given(now, command.what)
+        if self.fault and self.session.usable(now):
             self.fault = ""
             log.info("keepers are back")
 
+    def _give_back(self) -> None:
+        now = self.clock()
+        for what in self.holder.give_backs(now) if self.session.usable(now) else ():
+            try:
+                command = self.session.command(what, now)
+            except FleetError as error:
+                # Nothing more is used of it; the session ends or is told its share anew, and with it the word.
+                self._doubt(error)
+                continue
+            self._send(Submit((command,), now), self._given)
+
+    def _given(self, order: Submit, answer: Answer | FleetError) -> None:
+        now, command = self.clock(), order.commands[0]
+        if isinstance(answer, FleetError | Done):
+            self.session.lost(command, answer.code)
+            return
+        self.session.known(now, command)
+        self.holder.given(now, command.what)
+
     def _doubt(self, error: FleetError) -> None:
         self.counters.add(f"fleet.failed.{error.code}")
         if error.code != self.fault:
@@ -69,8 +103,8 @@
     def _tell(self) -> None:
         if self.session.state != self.told:
             self.told, fence = self.session.state, self.session.fence
-            log.info("session is now", extra={
-                "state": self.told, "session": fence.session if fence else 0, "boot": fence.boot if fence else 0})
+            log.info("session is now", extra={"state": self.told, "session": fence.session if fence else 0,
+                                              "boot": fence.boot if fence else 0})
             self.counters.add(f"fleet.sessions.{self.told}")
 
     def close(self, timeout: int) -> None:
--- a/laurelcourse/fleet/wiring.py
+++ b/laurelcourse/fleet/wiring.py
@@ -5,21 +5,20 @@
 
 import logging
 import time
-from collections.abc import Callable
 from pathlib import Path
 
 from laurelcourse.chance import Chance
 from laurelcourse.fleet import terms as settings
+from laurelcourse.fleet.budgets.holder import Holder
 from laurelcourse.fleet.calls import codec
 from laurelcourse.fleet.calls.client import Client
 from laurelcourse.fleet.calls.mailbox import Letters
 from laurelcourse.fleet.calls.peers import Peers
 from laurelcourse.fleet.calls.service import Service
 from laurelcourse.fleet.calls.ways import Limits, limits
-from laurelcourse.fleet.errors import FleetError
 from laurelcourse.fleet.keeper.desk import Desk
-from laurelcourse.fleet.keeper.keeping import Keeping
-from laurelcourse.fleet.keeper.store import Store
+from laurelcourse.fleet.keeper.forms import Kept
+from laurelcourse.fleet.keeper.keeping import kept_in
 from laurelcourse.fleet.member import Member
 from laurelcourse.fleet.orders import Terms
 from laurelcourse.fleet.session import Session
@@ -41,31 +40,28 @@
 class Keeper:
     """The books' keeping on this relay: disk, decisions, and the way to the other keepers."""
 
-    def __init__(self, name: str, fleet: Fleet, terms: Terms, bounds: Limits, folder: Path, seed: int) -> None:
-        """Raises FleetError when the disk can't be voted with, OSError when the address is taken."""
-        addresses = {one.name: shown(one.address) for one in fleet.keepers}
-        self.bounds, self.store = bounds, Store.open(folder / fleet.folder, fleet.name, name, seed)
-        try:
-            desk = Desk(name, settings.site_of(fleet, name), terms, Chance(seed), self.store.kept, clock(),
+    def __init__(self, name: str, fleet: Fleet, terms: Terms, bounds: Limits, folder: Path,
+                 seed: int) -> None:
+        """Raises OSError when the address is taken."""
+        def desk(kept: Kept) -> Desk:
+            return Desk(name, settings.site_of(fleet, name), terms, Chance(seed), kept, clock(),
                         encode=codec.packed, decode=codec.unpacked)
-            self.peers = Peers(fleet.name, name, addresses, bounds, Chance(seed + 1))
-            self.keeping = Keeping(desk, self.store, self.peers.send, clock, log)
-            self.service = Service(self.keeping, fleet.name, name, shown(fleet.listen or settings.address_of(
-                fleet, name)), bounds)
-        except BaseException:
-            self.store.close()
-            raise
 
-    def start(self) -> None:
-        self.keeping.start()
+        self.bounds = bounds
+        self.peers = Peers(fleet.name, name, {one.name: shown(one.address) for one in fleet.keepers}, bounds,
+                           Chance(seed + 1))
+        self.keeping = kept_in(
+            folder / fleet.folder, fleet.name, name, seed, desk, self.peers.send, clock, log)
+        listen = fleet.listen or settings.address_of(fleet, name)
+        self.service = Service(self.keeping, fleet.name, name, shown(listen), bounds)
         self.service.start()
 
     def close(self) -> None:
-        """Hands the lead over, then ends; what it is asked meanwhile is refused."""
-        self.keeping.stop(self.bounds.talk)
+        """Hands the lead over while what comes is refused, then ends."""
+        self.service.refuse()
+        self.keeping.stop(self.bounds.call)
         self.service.stop(self.bounds.talk)
         self.peers.close(self.bounds.talk)
-        self.store.close()
 
 
 def join(host: Host, fleet: Fleet, folder: Path, zone: str) -> None:
@@ -73,23 +69,13 @@
     terms, name, seed = settings.terms(fleet), host.config.name, host.config.seed
     bounds, ends = limits(terms), []
     if settings.address_of(fleet, name):
-        ends += _keeper(name, fleet, terms, bounds, folder, seed)
+        ends.append(Keeper(name, fleet, terms, bounds, folder, seed).close)
     client = Client(fleet.name, name, {one.name: shown(one.address) for one in fleet.keepers}, bounds, clock,
                     Chance(seed + 2))
     # Another chance at each start of the process, for its session must not bear the mark of the one before.
     session = Session(name, settings.site_of(fleet, name, zone), terms, Chance(seed ^ clock()), clock())
     letters = Letters(host.scheduler, bounds.queue)
-    member = Member(host.scheduler, session, client, letters, clock, host.counters)
+    holder = Holder(session, terms.budgets, clock())
+    member = Member(host.scheduler, session, holder, client, letters, clock, host.counters)
     host.works.append(member.work)
     host.closing += [lambda: member.close(bounds.talk), *ends]
-
-
-def _keeper(name: str, fleet: Fleet, terms: Terms, bounds: Limits, folder: Path,
-            seed: int) -> list[Callable[[], None]]:
-    try:
-        keeper = Keeper(name, fleet, terms, bounds, folder, seed)
-    except FleetError as error:
-        log.error("keeper takes no part", extra=error.fields())
-        return []
-    keeper.start()
-    return [keeper.close]
--- a/laurelcourse/interface.py
+++ b/laurelcourse/interface.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Iterable
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 Result = tuple
 
@@ -37,6 +37,30 @@
 COUNTED, VOID, REFUSED, BROKE, UNANSWERED = "counted", "void", "refused", "broke", "unanswered"
 
 
+# budgets of the fleet that the module knows: tries beyond a req's first; tries at a cold unit, by its number
+RESENDS, COLD_WORK = "resends", "cold-work"
+
+
+class Shares(Protocol):
+    """What this relay may use of the fleet's budgets, looked up at each use. True or False; None where the
+    module's own bound is all there is: no budget has this name, or it has no floor and no share now."""
+
+    def could(self, now: int, name: str, key: str = "") -> bool | None: ...
+
+    def take(self, now: int, name: str, key: str = "") -> bool | None:
+        """As `could`, and if True it counts as used."""
+
+
+class NoShares:
+    """A relay without a fleet."""
+
+    def could(self, now: int, name: str, key: str = "") -> None:
+        return None
+
+    def take(self, now: int, name: str, key: str = "") -> None:
+        return None
+
+
 class Listed(NamedTuple):
     """One unit as the directory lists it."""
 
@@ -57,6 +81,7 @@
     def __init__(self) -> None:
         self.out: list[Result] = []
         self.wake_at = 0
+        self.shares: Shares = NoShares()
 
     def results(self) -> list[Result]:
         out, self.out = self.out, []
@@ -74,6 +99,11 @@
     def start(self, now: int) -> list[Result]:
         return []
 
+    def heed(self, now: int, shares: Shares) -> list[Result]:
+        """From now on the fleet's budgets bind as well."""
+        self.shares = shares
+        return []
+
     def new_req(self, now: int, req: str, route: str, tenant: str, key: int | None, left: int,
                 repeated: bool) -> list[Result]:
         raise NotImplementedError
--- a/laurelcourse/net/choices.py
+++ b/laurelcourse/net/choices.py
@@ -50,6 +50,10 @@
         self._call("directory", face.CACHED, known)
         self.stage(news)
 
+    def heed(self, shares: face.Shares) -> None:
+        """The fleet's budgets bind from now on."""
+        self._call("heed", shares)
+
     def expect(self, req: str, box: Mailbox) -> bool:
         """Where the req's results go; False if one with its id is under way."""
         return self.boxes.setdefault(req, box) is box
--- a/laurelcourse/net/pool.py
+++ b/laurelcourse/net/pool.py
@@ -26,6 +26,7 @@
                  counters: Counters) -> None:
         """`greet` does what a new connection needs before its first query, and tells how that ended."""
         self.scheduler, self.limits, self.greet, self.counters = scheduler, limits, greet, counters
+        self.shares: face.Shares = face.NoShares()
         self.places: dict[int, Place] = {}
         self.open = 0
         self.rests = Rests(limits)
--- a/laurelcourse/net/relay.py
+++ b/laurelcourse/net/relay.py
@@ -36,7 +36,8 @@
         self.closing: list[Callable[[], None]] = []
         self.works: list[Callable[[], None]] = []
         self.main = self._main(config)
-        self.fronts = [self.main, *more(Host(self.scheduler, config, self.counters, self.closing, self.works))]
+        host = Host(self.scheduler, config, self.counters, self.closing, self.works)
+        self.fronts = [self.main, *more(host)]
 
     def _main(self, config: Config) -> Assembly:
         """The platform's own front: PostgreSQL, directory, deployer, the other relays."""
--- a/laurelcourse/rules.py
+++ b/laurelcourse/rules.py
@@ -87,7 +87,8 @@
             self._become(rq, ENDED)
         elif not rq.out():
             # Further tries are a bounded share of the reqs, lest they feed an overload.
-            self.i.retries -= (may := self.i.retries >= 1)
+            may = self.i.retries >= 1 and self.shares.take(now, face.RESENDS) is not False
+            self.i.retries -= may
             self._try_or_end(now, rq, may)
         if rq.owed and (done is not rq.owed or rq.state == ENDED):
             # A req that fails on both builds tells against itself, not against the build on trial.
@@ -203,6 +204,8 @@
             return self._give_up(now, rq)
         rq.tries.append(Try(len(rq.tries), unit, now, now - unit.since < self.s.warm_after // 2))
         self._become(rq, TRYING)
+        if self._ramp(now, unit) < 1.0:
+            self.shares.take(now, face.COLD_WORK, str(unit.id))
         unit.begin(now, now - self.s.tip_after - self.s.tick)
         self.i.open += 1
         if self._on_trial(unit.build):
@@ -248,6 +251,8 @@
         ramp = self._ramp(now, unit)
         if ramp >= 1.0:
             return True
+        if (told := self.shares.could(now, face.COLD_WORK, str(unit.id))) is not None:
+            return told
         # Answers, not reqs, tell what a warm unit can do. All relays' parts add up to the budget, however
         # many: where one is under a try, chance by unit, start and relay decides who sends when.
         usual = self.i.answered.since(now - ANSWERED_OVER * self.s.tip_after) / ANSWERED_OVER
