--- a/tests/test_fleet_settings.py
+++ b/tests/test_fleet_settings.py
@@ -4,8 +4,10 @@
 from pathlib import Path
 
 import pytest
+from click.testing import CliRunner
 from conftest import ROOT
 
+from laurelcourse import cli
 from laurelcourse.fleet import terms
 from laurelcourse.fleet.books.forms import Budget
 from laurelcourse.fleet.keeper.forms import Bounds
@@ -43,6 +45,12 @@
         ("fleet", "shed"), ("unit", "other"), ("unit", "other"), ("fleet", "wait")]
 
 
+def test_check_takes_the_example_and_says_what_it_holds() -> None:
+    path = ROOT / "deploy" / "fleet.xml"
+    ran = CliRunner().invoke(cli.main, ["check", "-o", str(path)])
+    assert (ran.exit_code, ran.output) == (0, f"{path}: good: 0 fronts, 3 keepers, 4 budgets\n")
+
+
 def test_the_order_in_the_file_changes_nothing_in_the_terms(tmp_path: Path) -> None:
     lines = re.findall(r"<(?:keeper|budget) [^>]*/>", EXAMPLE)
     other = EXAMPLE.replace(lines[0], "@").replace(lines[2], lines[0]).replace("@", lines[2])
