--- a/laurelcourse/fleet/member.py
+++ b/laurelcourse/fleet/member.py
@@ -1,6 +1,7 @@
 """A relay's session carried out: its orders go to the keepers, what comes back arrives as letters.
 
-One greenlet task; nothing here decides (see `session.py`, `budgets/holder.py`). The log hears of each change of state once."""
+One greenlet task; nothing here decides (see `session.py`, `budgets/holder.py`). The log hears of each change
+of state once."""
 
 import logging
 import threading
@@ -81,7 +82,7 @@
             try:
                 command = self.session.command(what, now)
             except FleetError as error:
-                # Nothing more is used of it; the session ends or is told its share anew, and with it the word.
+                # Nothing more is used of it; when the session ends or is told anew, so is the word.
                 self._doubt(error)
                 continue
             self._send(Submit((command,), now), self._given)
