Keeper's thread: a desk's acts carried out in order, through a full disk and a failing one

Nothing may be sent or answered that rests on what is not on disk. A write without room is given again, the very same; a failing disk or a fault of the desk ends this keeper's part only. 38 tests.

--- a/laurelcourse/fleet/keeper/store.py
+++ b/laurelcourse/fleet/keeper/store.py
@@ -27,8 +27,8 @@
     "log": "CREATE TABLE log (place INTEGER PRIMARY KEY, term INTEGER, kind TEXT, data BLOB, sum BLOB)",
     "marks": "CREATE TABLE marks (keeper TEXT, disk TEXT, term INTEGER, place INTEGER)",
     "snapshot": "CREATE TABLE snapshot (place INTEGER, term INTEGER, voters TEXT, learners TEXT, data BLOB)"}
-# A rollback journal, not a WAL: bits lost at a WAL's end silently take back votes that were told. It persists,
-# since cutting or deleting it waits for the whole file system. Commits/s measured, alone and on a busy disk:
+# A rollback journal, not a WAL: bits lost at a WAL's end silently take back votes that were told. It stays
+# there, since to cut or delete it waits for the whole file system. Commits/s, alone and on a busy disk:
 # WAL 12,900, 210-640; PERSIST 3,200, 170-540; TRUNCATE 1,100, 7-24. A keeper makes a few dozen at most.
 SETTINGS = ("journal_mode = PERSIST", "synchronous = EXTRA", "locking_mode = EXCLUSIVE",
             "cell_size_check = ON", "trusted_schema = OFF")
--- /dev/null
+++ b/tests/test_fleet_store.py
@@ -0,0 +1,371 @@
+"""A keeper's disk and its thread: what was told is kept, damage is refused, nothing is told unkept."""
+
+import json
+import logging
+import os
+import sqlite3
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable
+from pathlib import Path
+from types import SimpleNamespace
+
+import pytest
+
+from laurelcourse.chance import Chance
+from laurelcourse.fleet import errors
+from laurelcourse.fleet.books.forms import Batch, Command, Done, Fence, Open
+from laurelcourse.fleet.keeper.desk import Desk
+from laurelcourse.fleet.keeper.forms import Bounds, Entry, Keepers, Kept, Mark, Snapshot, TakeOver, Write
+from laurelcourse.fleet.keeper.keeping import Aside, Keeping, kept_in
+from laurelcourse.fleet.keeper.store import FILE, Store
+from laurelcourse.fleet.orders import Acts, Note, Submit, Terms
+
+VOTERS = Keepers(("a", "b"), ("c",))
+ROOT = Path(__file__).parent.parent
+CHILD = """
+import sys, resource
+from pathlib import Path
+from laurelcourse.fleet.keeper.forms import Entry, Keepers, Snapshot, Write
+from laurelcourse.fleet.keeper.store import Store
+store, limit = Store.open(Path(sys.argv[1]), "f", "a", 1), int(sys.argv[2])
+if limit: resource.setrlimit(resource.RLIMIT_FSIZE, (limit, limit))
+at = store.head.last
+while True:
+    at += 1
+    snapshot = Snapshot(at - 3, at - 3, Keepers(("a",)), b"s" * 30000) if at % 7 == 0 else None
+    store.save(Write(at, f"v{at}", 0, (Entry(at, at, "books", b"x" * (at * 7919 % 9000)),), snapshot))
+    print(at, flush=True)
+"""
+
+
+def clock() -> int:
+    return time.monotonic_ns() // 1000
+
+
+def opened(folder: Path) -> Store:
+    return Store.open(folder, "f", "a", 1)
+
+
+def kept(folder: Path) -> Kept:
+    one = opened(folder)
+    one.close()
+    return one.kept
+
+
+def entry(index: int, term: int, size: int = 5) -> Entry:
+    return Entry(index, term, "books", bytes([index % 256]) * size)
+
+
+def filled(folder: Path) -> Store:
+    """Entries 11 to 30 after a snapshot, of terms 3 to 7."""
+    one = opened(folder)
+    one.save(Write(1, "b", 0, tuple(entry(at, 1, 300) for at in range(1, 11))))
+    one.save(Write(7, "c", 0, tuple(entry(at, at // 4, 300) for at in range(11, 31)),
+                   Snapshot(10, 1, VOTERS, b"s" * 3000), marks={"b": Mark("d", 7, 9), "c": Mark("e", 2, 3)}))
+    return one
+
+
+def test_any_sequence_of_writes_is_read_as_it_was_given(tmp_path: Path) -> None:
+    chance, one, term, snapshot, marks = Chance(3), opened(tmp_path), 1, None, {}
+    entries: list[Entry] = []
+    for step in range(150):
+        first = snapshot.index if snapshot else 0
+        last, cut, whole, new = first + len(entries), 0, False, None
+        if chance.below(6) == 0 and last:
+            whole = chance.below(3) == 0
+            at = last + 1 + chance.below(5) if whole else first + chance.below(last - first + 1)
+            of = term if whole or at > last else next((e.term for e in entries if e.index == at), 0)
+            new = Snapshot(at, of or snapshot.term, VOTERS, b"s" * step) if at else None
+        if new:
+            snapshot, entries = new, [] if whole else [e for e in entries if e.index > new.index]
+            first, last = new.index, max(last, new.index) if not whole else new.index
+        if chance.below(4) == 0 and last > first:
+            cut = first + 1 + chance.below(last - first)
+            entries = [e for e in entries if e.index < cut]
+            last = cut - 1
+        term += chance.below(2)
+        more = tuple(entry(last + 1 + at, term, chance.below(3000)) for at in range(chance.below(4)))
+        entries += more
+        marks = {f"k{chance.below(5)}": Mark("d", term, step)} | marks if chance.below(3) == 0 else marks
+        one.save(Write(term, f"v{term}", cut, more, new, whole, marks))
+        if step % 10 == 9:
+            one.close()
+            one = opened(tmp_path)
+            assert one.kept == Kept(one.kept.disk, term, f"v{term}", snapshot, tuple(entries), marks)
+    one.close()
+
+
+@pytest.mark.parametrize("write", [
+    Write(6, "c"), Write(7, "b"), Write(7, ""), Write(7, "c", 0, (entry(32, 7),)), Write(7, "c", 10),
+    Write(7, "c", 0, (entry(31, 6),)), Write(7, "c", 0, (entry(31, 8),)), Write(7, "c", 32),
+    Write(7, "c", 0, (), Snapshot(9, 1, VOTERS, b"")), Write(7, "c", 0, (), Snapshot(20, 4, VOTERS, b"")),
+    Write(7, "c", 20, (entry(20, 7), entry(22, 7)), Snapshot(12, 3, VOTERS, b""))])
+def test_a_write_that_no_log_could_go_on_with_changes_nothing(tmp_path: Path, write: Write) -> None:
+    one = filled(tmp_path)
+    with pytest.raises(ValueError):
+        one.save(write)
+    one.save(Write(8, "a", 0, (entry(31, 8),)))
+    one.close()
+    assert kept(tmp_path).vote == "a" and [e.index for e in kept(tmp_path).entries] == [*range(11, 32)]
+
+
+@pytest.mark.parametrize("sql", [
+    "DELETE FROM log WHERE place = 20", "DELETE FROM log WHERE place > 29", "DELETE FROM log WHERE place < 12",
+    "UPDATE log SET term = 4 WHERE place = 30", "UPDATE log SET data = CAST(data AS TEXT) WHERE place = 30",
+    "DELETE FROM snapshot", "UPDATE snapshot SET voters = 'a'", "UPDATE marks SET place = 8",
+    "DROP TABLE marks", "CREATE TABLE more (a)", "DELETE FROM head", "UPDATE head SET vote = 'b'",
+    "UPDATE head SET term = 8", "PRAGMA application_id = 1", "PRAGMA user_version = 0",
+    "PRAGMA user_version = 2"])
+def test_what_was_changed_behind_its_back_is_refused(tmp_path: Path, sql: str) -> None:
+    filled(tmp_path).close()
+    db = sqlite3.connect(tmp_path / FILE, isolation_level=None)
+    db.execute(sql)
+    db.close()
+    with pytest.raises(errors.NewerBooksError if sql[-1] == "2" else errors.DamagedBooksError) as found:
+        opened(tmp_path)
+    assert "\n" not in str(found.value)
+
+
+def test_a_damaged_file_is_refused_or_read_as_it_was(tmp_path: Path) -> None:
+    filled(tmp_path / "whole").close()
+    (tmp_path / "hurt").mkdir()
+    raw, want = (tmp_path / "whole" / FILE).read_bytes(), kept(tmp_path / "whole")
+    chance, refused = Chance(5), 0
+    for turn in range(240):
+        at, hurt = chance.below(len(raw)), bytearray(raw)
+        hurt[at] ^= 1 << chance.below(8)
+        (tmp_path / "hurt" / FILE).write_bytes((hurt, raw[:at], raw[:at - at % 512])[max(turn - 200, 0) % 3])
+        try:
+            assert kept(tmp_path / "hurt") == want
+        except (errors.DamagedBooksError, errors.NewerBooksError):
+            refused += 1
+    assert 80 < refused < 240
+
+
+def test_folders_that_are_not_this_keepers(tmp_path: Path) -> None:
+    one = opened(tmp_path / "a")
+    with pytest.raises(errors.FolderInUseError):
+        opened(tmp_path / "a")
+    one.close()
+    for fleet, keeper in (("g", "a"), ("f", "b")):
+        with pytest.raises(errors.ForeignBooksError):
+            Store.open(tmp_path / "a", fleet, keeper, 1)
+    assert kept(tmp_path / "a").disk != kept(tmp_path / "b").disk
+    (tmp_path / "a" / FILE).write_bytes(b"")
+    with pytest.raises(errors.DamagedBooksError, match="empty"):
+        opened(tmp_path / "a")
+    for folder in (tmp_path / "a" / FILE, Path("/proc/no")):
+        with pytest.raises(errors.DiskFailedError):
+            opened(folder)
+
+
+def test_a_full_disk_leaves_the_state_before_and_is_gone_on_from(tmp_path: Path) -> None:
+    one = filled(tmp_path)
+    most = one.db.execute("PRAGMA page_count").fetchone()[0] + 2
+    one.db.execute(f"PRAGMA max_page_count = {most}")
+    write = Write(9, "b", 25, tuple(entry(at, 9, 9000) for at in range(25, 35)))
+    for _ in range(3):
+        with pytest.raises(errors.DiskFullError):
+            one.save(write)
+    one.save(Write(8, "a"))
+    one.db.execute("PRAGMA max_page_count = 1000000")
+    one.save(write)
+    one.close()
+    assert (kept(tmp_path).vote, kept(tmp_path).entries[-10:]) == ("b", write.entries)
+
+
+def test_whatever_was_acknowledged_outlives_kill_9_and_a_failing_disk(tmp_path: Path) -> None:
+    chance, last = Chance(11), 0
+    for turn in range(int(os.environ.get("KILLS", "8"))):
+        limit = 0 if turn else 40_000  # bytes that a file may have, once: a failing write, told as such
+        with subprocess.Popen([sys.executable, "-c", CHILD, str(tmp_path), str(limit)], text=True,
+                              cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.PIPE) as one:
+            try:
+                for _ in range(1 + chance.below(12) if turn else 0):
+                    last = int(one.stdout.readline())
+                time.sleep(chance.below(3000) / 1e6)  # the moment of the fault, anywhere between two writes
+                if turn:
+                    one.kill()
+                rest, fault = one.communicate(timeout=20)
+            finally:
+                one.kill()
+        assert turn or errors.DiskFailedError.__name__ in fault
+        last = max([last, *map(int, rest.split("\n")[:-1])])
+        now = kept(tmp_path)
+        assert last <= now.term <= last + 1 and now.vote == f"v{now.term}"
+        assert now.entries[-1].index == now.term and now.entries[-1].data == b"x" * (now.term * 7919 % 9000)
+        last = now.term
+
+
+# The thread
+
+class Scripted:
+    """A desk and a store in one: what is done to them is in `seen`, what they say comes from `says`."""
+
+    def __init__(self, **says: object) -> None:
+        self.name, self.role, self.seen, self.says = "a", "follower", [], says
+        self.terms = SimpleNamespace(bounds=Bounds(5_000, 50_000, 1 << 16, 8, 1 << 14, 4))
+        self.core = SimpleNamespace(role="follower", keepers=VOTERS)
+        self.full = self.closed = False
+        self.free, self.saved = threading.Event(), 0
+        self.free.set()
+        self.log = logging.getLogger(f"scripted.{id(self)}")
+
+    def due(self) -> int:
+        return 1 << 62
+
+    def _said(self, what: str, *of: object) -> Acts:
+        self.seen.append((what, *of))
+        assert self.free.wait(10)
+        said = self.says.get(what, Acts())
+        if isinstance(said, Exception):
+            raise said
+        return said._replace(answers=tuple((of[0], one) for _, one in said.answers))
+
+    def hear(self, now: int, sender: str, message: object) -> Acts:
+        return self._said("hear", sender)
+
+    def submit(self, now: int, token: int, submit: Submit) -> Acts:
+        return self._said("submit", token)
+
+    renew = ask = change = submit
+
+    def stop(self, now: int) -> Acts:
+        return self._said("stop")
+
+    def save(self, write: Write) -> None:
+        self.seen.append(("save", write))
+        if "save" in self.says:
+            raise self.says["save"]
+        self.saved += 1
+
+    def close(self) -> None:
+        self.closed = True
+
+    def begin(self) -> Keeping:
+        return Keeping(self, self, lambda to, message: self.seen.append(("send", to, message)),
+                       clock, self.log)
+
+
+def until(what: Callable[[], object]) -> None:
+    end = time.monotonic() + 10
+    while not what():
+        assert time.monotonic() < end
+        time.sleep(0.001)
+
+
+WRITE, ORDER = Write(3, "b"), Submit(())
+ACTS = Acts(WRITE, (("b", TakeOver(3)), ("c", TakeOver(3))), ((0, Done("yes")),),
+            (Note("warning", "said", (("name", "x"), ("of", 1))),))
+
+
+def test_a_write_comes_before_what_rests_on_it_also_through_a_full_disk(
+        caplog: pytest.LogCaptureFixture) -> None:
+    caplog.set_level(logging.INFO)
+    desk = Scripted(submit=ACTS, save=errors.DiskFullError("d"))
+    one = desk.begin()
+    first = one.submit(ORDER)
+    until(lambda: desk.seen.count(("save", WRITE)) > 2)
+    assert {what for what, *_ in desk.seen} == {"submit", "save"} and not first.done()
+    assert isinstance(one.renew(None).exception(10), errors.DiskFullError)
+    one.heard("b", TakeOver(1))
+    del desk.says["save"]
+    assert first.result(10) == Done("yes")
+    assert one.submit(ORDER).result(10) == Done("yes")
+    tail = [("save", WRITE), ("send", "b", TakeOver(3)), ("send", "c", TakeOver(3))]
+    assert [seen for seen in desk.seen if seen[0] != "submit"][-6:] == tail + tail and desk.saved == 2
+    assert not [seen for seen in desk.seen if seen[0] == "hear"]
+    assert one.stop(1_000_000) and desk.closed
+    assert [record.message for record in caplog.records] == [
+        "keeper steps out", "keeper goes on, there is room again", "said", "said"]
+    assert (caplog.records[-1].of_name, caplog.records[-1].of) == ("x", 1)
+
+
+@pytest.mark.parametrize("says, error", [
+    ({"save": errors.DiskFailedError("d", fault="x")}, errors.DiskFailedError),
+    ({"hear": ZeroDivisionError("x\ny")}, errors.KeeperFaultError)])
+def test_a_failing_disk_or_a_fault_ends_the_keepers_part_and_nothing_else(
+        says: dict, error: type, caplog: pytest.LogCaptureFixture) -> None:
+    desk = Scripted(**({"hear": ACTS} | says))
+    one = desk.begin()
+    taken = one.submit(ORDER)                       # never answered by this desk
+    until(lambda: ("submit", 1) in desk.seen)
+    desk.free.clear()
+    one.heard("b", TakeOver(1))
+    until(lambda: ("hear", "b") in desk.seen)
+    waits = one.ask(None)
+    desk.free.set()
+    for future in (taken, waits):
+        assert isinstance(future.exception(10), error)
+    assert isinstance(one.change(VOTERS).exception(10), error)
+    until(lambda: desk.closed)
+    assert one.stop(1_000_000) and not [seen for seen in desk.seen if seen[0] in ("send", "ask", "stop")]
+    assert [record.message for record in caplog.records] == ["keeper takes part no more"]
+    assert bool(caplog.records[0].exc_info) == (error is errors.KeeperFaultError)
+
+
+def test_queues_are_bounded_and_a_stop_waits_for_another_to_lead() -> None:
+    desk = Scripted()
+    desk.core.role = "leader"
+    one = desk.begin()
+    desk.free.clear()
+    one.heard("b", TakeOver(1))
+    until(lambda: desk.seen)
+    futures = [one.submit(ORDER) for _ in range(4)]
+    assert futures[1].cancel() and isinstance(one.submit(ORDER).exception(10), errors.OverloadedError)
+    for _ in range(5):
+        one.heard("c", TakeOver(1))
+    assert one.lost == 1
+    desk.free.set()
+    until(lambda: len(one.waiting) == 3)
+    ended = threading.Thread(target=one.stop, args=(300_000,))
+    ended.start()
+    until(lambda: ("stop",) in desk.seen)
+    assert isinstance(one.submit(ORDER).exception(10), errors.StoppingError) and not desk.closed
+    desk.core.role = "follower"
+    ended.join(10)
+    assert [type(futures[at].exception(10)) for at in (0, 2, 3)] == [errors.UnknownFateError] * 3
+    assert desk.closed and not one.thread.is_alive()
+
+
+def test_a_stop_does_not_wait_for_room_for_ever() -> None:
+    desk = Scripted(submit=ACTS, save=errors.DiskFullError("d"))
+    one = desk.begin()
+    first = one.submit(ORDER)
+    until(lambda: desk.seen.count(("save", WRITE)))
+    assert one.stop(20_000) or one.stop(1_000_000)
+    assert isinstance(first.exception(10), errors.UnknownFateError) and desk.closed
+
+
+def test_a_keeper_alone_goes_on_where_it_was_and_a_damaged_one_stands_aside(
+        tmp_path: Path, caplog: pytest.LogCaptureFixture) -> None:
+    bounds = Bounds(5_000, 50_000, 1 << 16, 8, 1 << 14, 64)
+    terms = Terms("f", 60_000_000, 1000, 20_000, 8, bounds, Keepers(("a",)), (), 4)
+
+    def encode(batch: Batch) -> bytes:
+        return json.dumps([batch.at, batch.term, [[one.mark, *one.what] for one in batch.commands]]).encode()
+
+    def decode(data: bytes) -> Batch:
+        at, term, opens = json.loads(data)
+        return Batch(at, term, tuple(Command(None, mark, Open(*what)) for mark, *what in opens))
+
+    def begun() -> Keeping | Aside:
+        return kept_in(tmp_path, "f", "a", 1, lambda kept: Desk(
+            "a", "s", terms, Chance(1), kept, clock(), encode=encode, decode=decode),
+            lambda to, message: None, clock, logging.getLogger("alone"))
+
+    for boot in range(1, 6):
+        one = begun()
+        until(lambda: one.desk.core.role == "leader" and one.desk.lead)  # noqa: B023
+        done = one.submit(Submit((Command(None, boot, Open(f"r{boot}", "s")),))).result(10)
+        assert isinstance(done[0].value, Fence) and done[0].value.session == boot
+        assert one.stop(2_000_000)
+    raw = (tmp_path / FILE).read_bytes()
+    (tmp_path / FILE).write_bytes(raw[:len(raw) // 2])
+    caplog.clear()
+    one = begun()
+    assert isinstance(one, Aside) and isinstance(one.renew(None).exception(10), errors.DamagedBooksError)
+    assert [record.message for record in caplog.records] == ["keeper takes no part"] and one.stop(0)
