Relays heed the fleet's budgets: resends, cold work, connections and handshakes at a unit

Need: a share that nobody looks at bounds nothing; the module divided a cold unit's work by the relays it supposed. Change: one new call of the interface (heed) hands Balancer what it may ask at each use; without a fleet every answer is None and nothing changes. The pool asks before it opens a connection. fleet/budgets/holder.py has all budgets of a relay.

--- a/laurelcourse/fleet/budgets/holder.py
+++ b/laurelcourse/fleet/budgets/holder.py
@@ -26,13 +26,28 @@
         self.uses: dict[str, Use] = {}
         self.asked_at: dict[str, int] = {}
 
-    def take(self, now: int, name: str, key: str = "", amount: int = 1) -> bool:
+    def could(self, now: int, name: str, key: str = "", amount: int = 1) -> bool | None:
+        """Whether `take` would say yes."""
+        if self._unbound(now, name):
+            return None
+        return self._use(now, name, key).could(now, amount, usable=self.session.usable(now))
+
+    def take(self, now: int, name: str, key: str = "", amount: int = 1) -> bool | None:
         """Whether so much of the budget may be used now; if so it counts as used. The lease is looked at in
-        this very call. NoSuchBudgetError."""
+        this very call. None: no budget has this name, or it has neither a floor nor, without a lease, a
+        share: whoever asks is left to its own bound."""
+        if self._unbound(now, name):
+            return None
         return self._use(now, name, key).take(now, amount, usable=self.session.usable(now))
 
+    def _unbound(self, now: int, name: str) -> bool:
+        budget = self.budgets.get(name)
+        return budget is None or (budget.floor == 0 and budget.kind != LEVEL and not self.session.usable(now))
+
     def back(self, now: int, name: str, key: str = "", amount: int = 1) -> None:
-        self._use(now, name, key).back(now, amount)
+        """Of a LEVEL: so much is held no longer."""
+        if name in self.budgets:
+            self._use(now, name, key).back(now, amount)
 
     def allowed(self, now: int, name: str, key: str = "") -> int:
         """Floor and share as of now: a second, in any window, or at once."""
--- a/laurelcourse/fleet/budgets/use.py
+++ b/laurelcourse/fleet/budgets/use.py
@@ -105,6 +105,17 @@
             lately.refused += amount
         return took
 
+    def could(self, now: int, amount: int = 1, *, usable: bool) -> bool:
+        """Whether `take` would say yes. One who only looks may look often: a no counts as demand once in a
+        slice of the time."""
+        if not usable:
+            self.until = min(self.until, self.at)
+        now = self._advance(now)
+        fits, lately = now >= self.closed_until and self._fits(amount), self.lately.at(now, self.held)
+        if not fits and not lately.refused:
+            lately.refused = amount
+        return fits
+
     def back(self, now: int, amount: int = 1) -> None:
         """Of a LEVEL: so much is held no longer. ValueError if so much is not held: a fault of the caller."""
         if not 0 <= amount <= self.held:
--- a/laurelcourse/fleet/member.py
+++ b/laurelcourse/fleet/member.py
@@ -22,6 +22,22 @@
 Heard = Callable[[Submit | Beat, Answer | FleetError], None]
 
 
+class Shares:
+    """The holder as a front asks it: leases are counted by another clock than reqs are."""
+
+    def __init__(self, holder: Holder, clock: Callable[[], int]) -> None:
+        self.holder, self.clock = holder, clock
+
+    def could(self, _: int, name: str, key: str = "") -> bool | None:
+        return self.holder.could(self.clock(), name, key)
+
+    def take(self, _: int, name: str, key: str = "") -> bool | None:
+        return self.holder.take(self.clock(), name, key)
+
+    def back(self, _: int, name: str, key: str = "") -> None:
+        self.holder.back(self.clock(), name, key)
+
+
 class Member:
     def __init__(self, scheduler: Scheduler, session: Session, holder: Holder, client: Client,
                  letters: Letters, clock: Callable[[], int], counters: Counters) -> None:
--- a/laurelcourse/fleet/wiring.py
+++ b/laurelcourse/fleet/wiring.py
@@ -19,7 +19,7 @@
 from laurelcourse.fleet.keeper.desk import Desk
 from laurelcourse.fleet.keeper.forms import Kept
 from laurelcourse.fleet.keeper.keeping import kept_in
-from laurelcourse.fleet.member import Member
+from laurelcourse.fleet.member import Member, Shares
 from laurelcourse.fleet.orders import Terms
 from laurelcourse.fleet.session import Session
 from laurelcourse.net.assembly import Host
@@ -77,5 +77,6 @@
     letters = Letters(host.scheduler, bounds.queue)
     holder = Holder(session, terms.budgets, clock())
     member = Member(host.scheduler, session, holder, client, letters, clock, host.counters)
+    host.main.heed(Shares(holder, clock))
     host.works.append(member.work)
-    host.closing += [lambda: member.close(bounds.talk), *ends]
+    host.closing.extend([lambda: member.close(bounds.talk), *ends])
--- a/laurelcourse/interface.py
+++ b/laurelcourse/interface.py
@@ -37,8 +37,9 @@
 COUNTED, VOID, REFUSED, BROKE, UNANSWERED = "counted", "void", "refused", "broke", "unanswered"
 
 
-# budgets of the fleet that the module knows: tries beyond a req's first; tries at a cold unit, by its number
-RESENDS, COLD_WORK = "resends", "cold-work"
+# budgets of the fleet that relays know by name: tries beyond a req's first; by unit: tries while it is cold,
+# connections held, and connections begun
+RESENDS, COLD_WORK, CONNECTIONS, HANDSHAKES = "resends", "cold-work", "connections", "handshakes"
 
 
 class Shares(Protocol):
@@ -50,6 +51,9 @@
     def take(self, now: int, name: str, key: str = "") -> bool | None:
         """As `could`, and if True it counts as used."""
 
+    def back(self, now: int, name: str, key: str = "") -> None:
+        """Of what is held: one is held no longer."""
+
 
 class NoShares:
     """A relay without a fleet."""
@@ -60,6 +64,9 @@
     def take(self, now: int, name: str, key: str = "") -> None:
         return None
 
+    def back(self, now: int, name: str, key: str = "") -> None:
+        pass
+
 
 class Listed(NamedTuple):
     """One unit as the directory lists it."""
--- a/laurelcourse/net/assembly.py
+++ b/laurelcourse/net/assembly.py
@@ -31,6 +31,7 @@
     counters: Counters
     closing: list[Callable[[], None]]
     works: list[Callable[[], None]]
+    main: "Assembly"
 
 
 class Front(Protocol):
@@ -69,6 +70,11 @@
         for verb in (face.VOTE, face.TELL, face.WATCH):
             self.choices.on(verb, lambda *_: None)
 
+    def heed(self, shares: face.Shares) -> None:
+        """The fleet's budgets bind this front from now on."""
+        self.choices.heed(shares)
+        self.pool.shares = shares
+
     def follow(self, directory: Directory) -> None:
         self.directory = directory
         self.choices.on(face.WATCH, directory.watch)
--- a/laurelcourse/net/pool.py
+++ b/laurelcourse/net/pool.py
@@ -17,6 +17,7 @@
 
     def __init__(self, address: Address, entry: face.Listed) -> None:
         self.address, self.build, self.since = address, entry.build, entry.since
+        self.unit = str(entry.unit)
         self.idle: deque[tuple[int, Connection]] = deque()
         self.gone = self.odd = False
 
@@ -27,6 +28,7 @@
         """`greet` does what a new connection needs before its first query, and tells how that ended."""
         self.scheduler, self.limits, self.greet, self.counters = scheduler, limits, greet, counters
         self.shares: face.Shares = face.NoShares()
+        self.units: dict[Connection, str] = {}
         self.places: dict[int, Place] = {}
         self.open = 0
         self.rests = Rests(limits)
@@ -59,12 +61,17 @@
         if self.open >= self.limits.upstream and not self.drop_idle():
             self.counters.add("units_no_descriptor")
             return None, 0, face.UNREACHED
+        if not self._within_budgets(place):
+            self.counters.add("units_no_budget")
+            return None, 0, face.UNREACHED
         self.open += 1
         until = min(until, self.scheduler.now() + self.limits.connect)
         conn = Connection.connect(self.scheduler, place.address, self.limits, until)
         if conn is None:
             self.open -= 1
+            self.shares.back(self.scheduler.now(), face.CONNECTIONS, place.unit)
             return None, 0, face.UNREACHED
+        self.units[conn] = place.unit
         self.counters.add("units_connected")
         status = self.greet(conn, until)
         if status != face.OK:
@@ -72,6 +79,16 @@
             return None, 0, status
         return conn, 0, status
 
+    def _within_budgets(self, place: Place) -> bool:
+        """The fleet's bounds on new connections to a unit and on those held; one is counted as held from here
+        on."""
+        now = self.scheduler.now()
+        if self.shares.could(now, face.HANDSHAKES, place.unit) is False or (
+                self.shares.take(now, face.CONNECTIONS, place.unit) is False):
+            return False
+        self.shares.take(now, face.HANDSHAKES, place.unit)
+        return True
+
     def _rested(self, place: Place) -> tuple[Connection | None, int]:
         """The one used last among those that have rested, so that a second answer would have come by now."""
         now, fresh, found, rested = self.scheduler.now(), [], None, 0
@@ -96,6 +113,7 @@
         if conn.open:
             conn.close()
             self.open -= 1
+            self.shares.back(self.scheduler.now(), face.CONNECTIONS, self.units.pop(conn, ""))
 
     def drop_idle(self) -> bool:
         """Closes the connection that has been idle longest; whether there was one."""
--- a/laurelcourse/net/relay.py
+++ b/laurelcourse/net/relay.py
@@ -36,7 +36,7 @@
         self.closing: list[Callable[[], None]] = []
         self.works: list[Callable[[], None]] = []
         self.main = self._main(config)
-        host = Host(self.scheduler, config, self.counters, self.closing, self.works)
+        host = Host(self.scheduler, config, self.counters, self.closing, self.works, self.main)
         self.fronts = [self.main, *more(host)]
 
     def _main(self, config: Config) -> Assembly:
