--- a/laurelcourse/fleet/keeper/changes.py
+++ b/laurelcourse/fleet/keeper/changes.py
@@ -39,14 +39,13 @@
 
 
 def fit(old: Keepers, new: Keepers, caught_up: set[str], alive: set[str]) -> bool:
-    """`caught_up`: learners that may be given a vote. `alive`: heard of lately, with the leader itself.
+    """`caught_up`: they may be given a vote. `alive`: heard of lately, with the leader itself.
 
-    Nobody gets a vote without having been a learner, or the fleet would wait for a log that is far behind;
+    Nobody gets a vote without having been sent the log, or the fleet would wait for a log that is far behind;
     and no change is begun that those who are alive could not commit."""
     names = changed(old, new)
     if not well_formed(new) or len(names) != 1:
         return False
-    promoted = names[0] in new.voters
-    if promoted and not (names[0] in old.learners and names[0] in caught_up):
+    if names[0] in new.voters and names[0] not in caught_up:
         return False
     return sum(name in alive for name in new.voters) >= quorum(new)
--- a/laurelcourse/fleet/keeper/core.py
+++ b/laurelcourse/fleet/keeper/core.py
@@ -59,8 +59,7 @@
         self.log = Log(kept.snapshot, kept.entries, keepers)
         self.commit = self.applied = self.log.first
         self.marks, self._disk = Marks(me, kept.marks), kept.disk
-        # what the disk held at start, whatever is heard meanwhile: this is what is to be proved
-        self._held_at_start, self._proved = self._held(), set[str]()
+        self._proved: set[str] = set()
         # a disk copied before a vote looks like the disk after it: no new vote in the term found on disk
         self._spent_term = kept.term
         self._saved, self._told = (self.term, self.vote), (self.role, self.term, self.leader)
@@ -241,7 +240,7 @@
                 self._deadline = now  # there is nobody whom waiting would spare
 
     def _hello(self, now: int) -> None:
-        held = self._held_at_start
+        held = self._held()  # as at start: nothing is taken while it is proved
         self._send += [(name, Hello(held.term, held.disk, held.index)) for name in self._others()]
         self._beat_at = now + self.bounds.beat
 
@@ -254,7 +253,7 @@
     def _on_known(self, now: int, sender: str, known: Known) -> None:
         if self.role != PROVING or known.disk != self._disk or sender not in self._others():
             return
-        if known.older or older(self._held_at_start, known.mark):
+        if known.older or older(self._held(), known.mark):
             self._become(now, REFUSED, self.term, "")
             return
         self._proved.add(sender)
@@ -383,10 +382,10 @@
         self._send.append((sender, Appended(self.term, True, max(end, self.commit), sent.round)))
 
     def _hint(self, sent: Append) -> int:
-        """Past the whole term that does not match, but never behind what is committed (Raft, 5.3)."""
+        """Past the whole term that does not match (Raft, 5.3); of what it passes over, part may match."""
         if sent.before_index > self.last:
             return self.last
-        return max(self.log.term_begins(sent.before_index) - 1, self.commit)
+        return self.log.term_begins(sent.before_index) - 1
 
     def _on_piece(self, sender: str, piece: Piece) -> None:
         if piece.index <= self.commit:
--- a/laurelcourse/fleet/keeper/reads.py
+++ b/laurelcourse/fleet/keeper/reads.py
@@ -35,9 +35,8 @@
         return bool(self._waiting) and not any(one.round for one in self._waiting)
 
     def begin(self, round_: int, commit: int) -> None:
-        """A round begins now; it will do for all that wait for one."""
-        self._waiting = [one if one.round else one._replace(round=round_, index=commit)
-                         for one in self._waiting]
+        """A round begins now; it will do for all that wait."""
+        self._waiting = [one._replace(round=round_, index=commit) for one in self._waiting]
 
     def drop(self) -> list[int]:
         """Takes out all: their tokens."""
--- a/tests/test_fleet_core.py
+++ b/tests/test_fleet_core.py
@@ -9,7 +9,7 @@
 import pytest
 
 from laurelcourse.chance import Chance
-from laurelcourse.fleet.keeper import forms
+from laurelcourse.fleet.keeper import changes, forms, progress, proving
 from laurelcourse.fleet.keeper.core import NEVER, Core
 from laurelcourse.fleet.keeper.forms import BOOKS, FOLLOWER, LEADER, PROVING, REFUSED, Entry, Keepers, Kept
 
@@ -186,9 +186,14 @@
 
 def elected(kept: Kept) -> tuple[Fleet, Core]:
     fleet, core = begun(kept)
-    fleet.run(lambda: fleet.cores["b"].role == "candidate")
-    for trial in (True, False):
-        fleet.say("a", "b", forms.Vote(core.term + trial, True, trial))
+    fleet.run(lambda: core.role == forms.CANDIDATE)
+    fleet.say("a", "b", forms.Vote(core.term + 1, True, True))
+    for sender, vote in (("x", forms.Vote(core.term, True, False)),       # it has no vote
+                         ("a", forms.Vote(core.term + 1, True, True)),    # a trial, for another term
+                         ("a", forms.Vote(core.term, False, False))):
+        fleet.say(sender, "b", vote)
+        assert core.role == forms.CANDIDATE
+    fleet.say("a", "b", forms.Vote(core.term, True, False))
     assert core.role == LEADER
     return fleet, core
 
@@ -222,8 +227,9 @@
     fleet, core = begun(disk("b", 1))
     fleet.say("a", "b", forms.Append(2, 1, 1, (), 1, 1))
     fleet.now += late * MS
-    fleet.say("c", "b", forms.AskVote(9, 9, 9, trial, handed))
+    out = fleet.say("c", "b", forms.AskVote(9, 9, 9, trial, handed))
     assert (core.term, core.leader) == ((9, "") if heeded else (2, "a"))
+    assert any(vote.granted for _, vote in out.send) == heeded
 
 
 @pytest.mark.parametrize("held, term, before, terms, known, answer, left, commit", [
@@ -251,11 +257,38 @@
     fleet.say("a", "b", forms.Append(1, 2, 1, (), 2, 1))
     out = fleet.say("a", "b", forms.Append(1, 0, 0, log(5), 0, 1))
     assert core.last == 2 and out.send[0][1] == forms.Appended(1, True, 2, 1)
+    late = fleet.say("a", "b", forms.Piece(1, 1, 1, ABC, 0, b"", True, 1))
+    assert late.restore is None and late.send[0][1].done and core.commit == 2
+
+
+def named(at: int, term: int, keepers: Keepers) -> Entry:
+    return Entry(at, term, forms.KEEPERS, changes.told_keepers(keepers))
+
+
+def test_keepers_are_in_force_from_when_they_are_in_the_log_until_they_are_cut() -> None:
+    fleet, core = begun(disk("b", 1)._replace(entries=(*log(1), named(2, 1, FIVE))))
+    assert core.keepers == FIVE
+    fleet.say("a", "b", forms.Append(2, 1, 1, log(1, 2)[1:], 1, 1))
+    assert core.keepers == ABC and core.last == 2
+
+
+@pytest.mark.parametrize("index_term, last", [(1, 4), (2, 3)])
+def test_a_snapshot_leaves_of_the_log_only_what_goes_on_from_it(index_term: int, last: int) -> None:
+    fleet, core = begun(disk("b", 1, 1, 1, 1))
+    for term, index, at, data, offset in (
+            (2, 3, 0, b"|x|", 3), (3, 3, 3, b"the rest, of another leader", 0), (3, 3, 0, b"|a|", 3),
+            (3, 2, 0, b"of an earlier one", None), (3, 3, 9, b"too early", 3), (3, 3, 3, b"b|c", 6)):
+        assert core.commit == 0
+        out = fleet.say("a", "b", forms.Piece(term, index, index_term, FIVE, at, data, at > 2, 1))
+        assert [message.offset for _, message in out.send] == ([] if offset is None else [offset])
+    assert fleet.books["b"] == [b"a", b"b", b"c"]
+    assert (core.last, core.commit, core.keepers) == (last, 3, FIVE)
 
 
 def test_entries_of_former_terms_are_committed_only_by_one_of_the_own() -> None:
     fleet, core = elected(disk("b", 1, 2, term=3))
     fleet.say("a", "b", forms.Appended(4, True, 2, 1))
+    fleet.say("a", "b", forms.Appended(4, True, 99, 1))  # more than there is
     assert core.commit == 0  # figure 8: a majority holds entry 2, and it may still be lost
     assert [one.index for one in fleet.say("a", "b", forms.Appended(4, True, 3, 1)).apply] == [1, 2, 3]
 
@@ -301,7 +334,9 @@
     fleet = Fleet()
     old, start = fleet.lead("a"), fleet.now
     fleet.propose("a", 1)
-    fleet.carry("a", old.hand_over(fleet.now, "c"))
+    out = fleet.carry("a", old.hand_over(fleet.now, "c"))
+    assert forms.TakeOver(old.term) not in [message for _, message in out.send]  # entry 1 first
+    assert not fleet.say("b", "c", forms.TakeOver(old.term)).send                # not from the leader
     assert fleet.propose("a", 2) == "not_leader" and fleet.change("a", "ab") == "not_leader"
     fleet.run(lambda: fleet.leading() == "c", BOUNDS.patience // 2)
     fleet.run(fleet.same)
@@ -344,23 +379,37 @@
 
 
 def test_no_change_before_an_entry_of_the_own_term_is_committed() -> None:
-    fleet, _ = elected(disk("b", 1))
-    assert fleet.change("b", "abc", "d") == "change_under_way"
-    fleet.say("a", "b", forms.Appended(2, True, 3, 1))
+    fleet, core = elected(disk("b", 1)._replace(entries=(named(1, 1, ABC),)))
+    fleet.say("a", "b", forms.Appended(2, True, 1, 1))
+    assert core.commit == 0 and fleet.change("b", "abc", "d") == "change_under_way"
+    fleet.say("a", "b", forms.Appended(2, True, 2, 1))
     assert fleet.change("b", "abc", "d") == "" and fleet.change("b", "abc") == "change_under_way"
 
 
-def test_one_whose_removal_is_not_committed_leads_on_to_commit_it() -> None:
-    fleet = Fleet()
-    fleet.lead("a")
-    fleet.run(fleet.same)
-    fleet.cut = {("a", "b"), ("a", "c")}
-    assert fleet.change("a", "bc") == ""
-    for name in "abc":
-        fleet.start(name)
-    fleet.cut = set()
-    fleet.run(lambda: fleet.leading() in ("b", "c") and fleet.same())
-    assert fleet.cores[fleet.leading()].keepers == Keepers(("b", "c"))
+@pytest.mark.parametrize("without", [Keepers(("a", "c")), Keepers(("a", "c"), ("b",))])
+def test_one_whose_removal_may_not_be_committed_asks_for_votes_but_has_none(without: Keepers) -> None:
+    fleet, core = begun(disk("b", 1)._replace(entries=(named(1, 1, ABC), named(2, 1, without))))
+    fleet.run(lambda: core.role == forms.CANDIDATE)
+    for trial, sender in ((True, "a"), (True, "c"), (False, "a")):
+        fleet.say(sender, "b", forms.Vote(core.term + trial, True, trial))
+    assert core.role == forms.CANDIDATE
+    fleet.say("c", "b", forms.Vote(core.term, True, False))
+    assert core.role == LEADER
+    for sender in "ac":
+        fleet.say(sender, "b", forms.Appended(2, True, 3, 1))
+    assert core.role == FOLLOWER and core.commit == 3
+    fleet.rest(9 * BOUNDS.patience)
+    assert core.role == FOLLOWER and core.term == 2
+
+
+@pytest.mark.parametrize("old, new, caught_up, alive, fits", [
+    (Keepers(("a",), ("b",)), Keepers(("a", "b")), "b", "ab", True),
+    (Keepers(("a",), ("b",)), Keepers(("a", "b")), "", "ab", False),
+    (Keepers(("a",), ("b",)), Keepers(("a", "b"), ("b",)), "b", "ab", False),
+    (ABC, Keepers(("b", "a")), "", "abc", False), (ABC, Keepers(("a", "b", "c"), ("d;",)), "", "abc", False),
+    (ABC, Keepers(("a", "b")), "", "ab", True), (ABC, Keepers(("a", "b")), "", "ac", False)])
+def test_which_changes_fit(old: Keepers, new: Keepers, caught_up: str, alive: str, fits: bool) -> None:
+    assert changes.fit(old, new, set(caught_up), set(alive)) == fits
 
 
 @pytest.mark.parametrize("lost", range(5))
@@ -394,12 +443,13 @@
     for token in range(100, 100 + BOUNDS.waiting):
         assert fleet.propose("a", token) == ""
     assert fleet.propose("a", 1) == "overloaded"
+    fleet.carry("a", lead.propose(fleet.now, 3, forms.KEEPERS, b"a;"))
+    assert fleet.refused[3] == "unfit_change"
     fleet.read("a", 2)
     assert fleet.refused[2] == "overloaded"
     with_entries = [one[4] for one in fleet.wire if one[3] == "b" and one[4].entries]
     assert len(with_entries) == BOUNDS.ahead
     fleet.run(lambda: lead.commit == lead.last, BOUNDS.patience)
-    assert all(sum(len(one.data) for one in part.entries) <= BOUNDS.batch for part in with_entries)
 
 
 def test_a_follower_whose_log_went_another_way_is_brought_back_in_few_messages() -> None:
@@ -409,6 +459,9 @@
     refused = set[int]()
     while not fleet.same():
         fleet.step()
+        sizes = [sum(len(entry.data) + 32 for entry in one[4].entries) for one in fleet.wire
+                 if isinstance(one[4], forms.Append)]
+        assert max(sizes, default=0) <= BOUNDS.batch
         refused |= {one[1] for one in fleet.wire if isinstance(one[4], forms.Appended) and not one[4].ok}
     assert len(refused) <= 3 and fleet.books["c"] == fleet.books["a"]
 
@@ -438,6 +491,41 @@
     assert fleet.leading() and (fleet.cores["c"].role == REFUSED) == (role == REFUSED)
 
 
+@pytest.mark.parametrize("sender, said, role", [
+    ("a", (1, "disk-b", False, ("disk-b", 1, 1)), FOLLOWER),
+    ("a", (1, "disk-b", True, ("", 0, 0)), REFUSED),
+    ("a", (1, "disk-b", False, ("disk-b", 1, 2)), REFUSED),       # what was seen is more, whatever it says
+    ("a", (1, "disk-b", False, ("another", 0, 0)), REFUSED),
+    ("a", (1, "another", True, ("disk-b", 9, 9)), PROVING),       # an answer to another disk
+    ("x", (1, "disk-b", False, ("", 0, 0)), PROVING)])            # no voter
+def test_what_the_others_know_of_a_disk(sender: str, said: tuple, role: str) -> None:
+    fleet = Fleet(disks={"b": disk("b", 1)}, names="b")
+    fleet.say(sender, "b", forms.Known(*said[:3], forms.Mark(*said[3])))
+    assert fleet.cores["b"].role == role
+    out = fleet.say("c", "b", forms.Hello(4, "disk-c", 0))
+    assert out.send[0][1].older is False and out.write.marks == {"c": forms.Mark("disk-c", 4, 0)}
+
+
+def test_marks_never_go_back_and_what_may_be_cut_is_not_told() -> None:
+    marks = proving.Marks("b", {})
+    for mark in (("", 1, 5), ("d", 1, 3), ("other", 9, 9), ("", 2, 0)):
+        marks.note("c", forms.Mark(*mark))
+    assert marks.by_name == {"c": forms.Mark("d", 2, 0)}
+    fleet = Fleet(disks={"b": disk("b", 1, 1, term=2)}, names="b")
+    assert fleet.carry("b", fleet.cores["b"].tick(0)).send[0][1] == forms.Hello(2, "disk-b", 0)
+
+
+def test_a_leader_takes_no_late_answer_for_news() -> None:
+    one = progress.Progress(0, 9, 4)
+    one.holds(5)
+    one.lacks(2)
+    assert (one.next, one.state) == (6, progress.PROBE)
+    one.send_pieces(forms.Snapshot(8, 1, ABC, b"x" * 99))
+    one.lacks(7)
+    assert one.state == progress.PIECES
+    assert [one.piece_taken(offset) for offset in (40, 40, 80, 40, 80)] == [True, False, True, False, True]
+
+
 def test_one_alone_leads_at_once_and_what_it_commits_is_in_the_same_write() -> None:
     fleet = Fleet(Keepers(("a",)))
     fleet.step()
