--- /dev/null
+++ b/tests/test_fleet_books.py
@@ -0,0 +1,275 @@
+"""The fleet's books: each rule by a script; any prefix replayed; never more in use than there is."""
+
+import os
+import subprocess
+import sys
+from collections.abc import Iterator
+
+import pytest
+
+from laurelcourse.chance import Chance
+from laurelcourse.fleet.books import budgets, sessions
+from laurelcourse.fleet.books import forms as f
+from laurelcourse.fleet.books.apply import Books
+from laurelcourse.fleet.errors import CODES, DamagedBooksError, made
+
+A = f.Fence("a", 1, 1, 3)
+WHO = {"a": A, "b": f.Fence("b", 2, 1, 3), "boot": A._replace(boot=2), "term": A._replace(term=2),
+       "name": A._replace(name="b")}
+TRIES = f.Budget("tries", f.RATE, 100, 10, 4, 0, 0)                  # 60 to divide
+LINES = f.Budget("lines", f.LEVEL, 50, 0, 4, 0, 1000)
+HELLOS = f.Budget("hellos", f.COUNT, 20, 1, 4, 500, 0)               # 16 to divide
+LISTS = {"all": (TRIES, LINES, HELLOS), "small": (LINES._replace(whole=5),),
+         "high": (TRIES._replace(relays=11),)}
+
+
+def read(step: str) -> f.Command:
+    """`open NAME MARK`, `lapse N`, `define LIST`, `grant SCOPE N:SHARE..`, `close WHO MARK`,
+    `back WHO MARK SCOPE KEEPS`."""
+    match step.split():
+        case "open", name, mark:
+            return f.Command(None, int(mark), f.Open(name, "east"))
+        case "lapse", number:
+            return f.Command(None, 0, f.Lapse(int(number)))
+        case "define", name:
+            return f.Command(None, 0, f.Define(LISTS[name]))
+        case "grant", scope, *shares:
+            pairs = (one.split(":") for one in shares)
+            return f.Command(None, 0, f.Grant(scope, tuple((int(one), int(share)) for one, share in pairs)))
+        case "close", who, mark:
+            return f.Command(WHO[who], int(mark), f.Close())
+        case "back", who, mark, scope, keeps:
+            return f.Command(WHO[who], int(mark), f.GiveBack(scope, int(keeps)))
+    raise AssertionError(step)
+
+
+def do(books: Books, at: int, *steps: str | f.Command) -> list[str]:
+    """What came of each: its code, or its value in words."""
+    commands = tuple(read(one) if type(one) is str else one for one in steps)
+    done = books.apply(books.index + 1, f.Batch(at, 3, commands))
+    for one in done:
+        assert not one.code or type(made(one.code, one.to, dict(one.told))) is CODES[one.code], one
+    return [one.code or " ".join(map(str, one.value)) for one in done]
+
+
+def begun() -> Books:
+    books = Books()
+    do(books, 10, "define all", "open a 71", "open b 72")
+    return books
+
+
+SCRIPTS = """
+open again: open a 71 = a 1 1 3; open a 5 = name_taken
+open come late: lapse 1; open a 71 = lapsed_lease; open a 73 = a 3 2 3; open a 71 = name_taken
+fenced off: lapse 1; close a 1 = lapsed_lease; open a 73; close a 1 = fenced_off; lapse 3
+ ; close a 1 = fenced_off
+whole fence: close boot 1 = lapsed_lease; close term 1 = lapsed_lease; close name 1 = fenced_off
+mark again: grant lines 1:40; back a 1 lines 30 = 30; grant lines 1:45; back a 1 lines 30 = 30
+ ; back a 2 lines 45 = 45
+refused mark again: back a 1 lines 30 = not_held; grant lines 1:40; back a 1 lines 30 = not_held
+over the whole: grant tries 1:30; grant tries 1:40 2:21 = over_whole; grant tries 2:30
+ ; grant tries 1:31 = over_whole
+asked back: grant tries 1:60; grant tries 1:20; grant tries 2:1 = over_whole; back a 1 tries 20 = 20
+ ; grant tries 2:40
+more than held: grant tries 1:5; back a 1 tries 6 = not_held; back b 1 tries 1 = not_held
+ ; back b 2 tries 0 = 0
+rate: grant tries 1:60; lapse 1; grant tries 2:60
+level lapsed: grant lines 1:50; lapse 1; at 1019; grant lines 2:1 = over_whole; at 1020; grant lines 2:50
+level closed: grant lines 1:50; close a 1; grant lines 2:50
+count back: grant hellos/k 1:16; back a 1 hellos/k 6; at 519; grant hellos/k 2:1 = over_whole; at 520
+ ; grant hellos/k 2:10
+count lapsed: grant hellos 1:16; lapse 1; at 519; grant hellos 2:1 = over_whole; at 520; grant hellos 2:16
+count closed: grant hellos 1:16; close a 1; at 519; grant hellos 2:1 = over_whole; at 520; grant hellos 2:16
+time back: at 600; grant hellos 1:16; at 20; lapse 1; at 1099; grant hellos 2:1 = over_whole; at 1100
+ ; grant hellos 2:1
+keys: grant hellos/k 1:16; grant hellos/l 1:16; grant hellos 2:16; grant hellos/ 2:1 = no_such_budget
+none: grant none/k 2:1 = no_such_budget; back a 1 none 1 = no_such_budget; back a 1 none 0 = no_such_budget
+lower whole: grant lines 1:20 2:20; define small; grant lines 1:21 = over_whole; grant lines 1:2 2:2
+ ; back a 1 lines 2
+ ; grant lines 1:3 = over_whole; back b 1 lines 2; grant lines 1:3; grant lines 1:4 = over_whole
+gone: grant hellos 1:16; define small; grant hellos 1:16 = no_such_budget; back a 1 hellos 0; define all
+ ; at 519; grant hellos 1:1 = over_whole; define small; at 520; back a 2 hellos 0 = no_such_budget
+nobody: lapse 1; grant lines 1:0 = lapsed_lease; lapse 1 = lapsed_lease
+floors: define high = floors_over_whole; grant tries 2:60
+"""
+
+
+@pytest.mark.parametrize("script", SCRIPTS.replace("\n ;", ";").strip().splitlines())
+def test_rules(script: str) -> None:
+    books, at = begun(), 20
+    for step in script.partition(":")[2].split(";"):
+        order, _, wanted = (part.strip() for part in step.partition("="))
+        at = int(order[3:]) if order.startswith("at ") else at
+        do(books, at)
+        before = books.plain()[5:9]
+        told = do(books, at, *([] if order.startswith("at ") else [order]))
+        assert not wanted or told == [wanted], step
+        assert told in ([], [wanted]) or told[0] not in CODES, step
+        assert not set(told) & set(CODES) or books.plain()[5:9] == before, f"{step}: refused, yet it did"
+
+
+def test_marks_too_old() -> None:
+    books = begun()
+    assert do(books, 20, *(f"back a {mark} lines 0" for mark in range(2, 67))) == ["0"] * 65
+    late = [f"back a {mark} lines 0" for mark in (3, 2, 1)]
+    assert do(books, 20, *late) == ["0", "mark_forgotten", "mark_forgotten"]
+
+
+BACK, OVER = f.GiveBack("lines", 1), (1 << 48) + 1
+UNFIT: dict[str, list] = {
+    "out_of_order": [read(one)._replace(fence=A) for one in ("lapse 2", "define all", "grant lines 1:1")],
+    "unknown_command": [f.Command(A, 1, None), f.Command(A, 1, A)],
+    "unreadable": [
+        None, BACK, *(f.Command(fence, 1, BACK) for fence in (None, tuple(A), A._replace(name=[]))),
+        *(f.Command(A, mark, BACK) for mark in (0, "1", True, 1 << 63)),
+        *(f.Command(A, 1, f.GiveBack("lines", keeps)) for keeps in (-1, True, "1", OVER)),
+        *(f.Command(None, 0, f.Lapse(session)) for session in (0, "1", 1 << 63)),
+        *(f.Command(None, 1, f.Open(name, "east")) for name in ("", "a\nb", "x" * 257, "\ud800", 5)),
+        *(f.Command(None, mark, f.Open("c", "east")) for mark in (0, None)),
+        *(f.Command(None, 0, f.Grant("lines", shares)) for shares in (
+            ((1, -1),), ((1, 1), (1, 2)), ((1,),), (5,), None, [(1, 1)], ((1, OVER),), ((1, 1.0),))),
+        *(f.Command(None, 0, f.Define(listed)) for listed in (None, [LINES], (5,)))],
+    "definition_refused": [f.Command(None, 0, f.Define((LINES, LINES))), *(
+        f.Command(None, 0, f.Define((LINES._replace(**{field: value}),))) for field, value in (
+            ("name", ""), ("name", "a/b"), ("name", 5), ("kind", "other"), ("kind", f.COUNT), ("window", 5),
+            ("whole", 0), ("floor", -1), ("relays", 4097), ("freed_after", OVER)))],
+    "no_such_budget": [f.Command(A, 1, f.GiveBack([], 1)), f.Command(None, 0, f.Grant(None, ()))],
+}
+
+
+@pytest.mark.parametrize("code", UNFIT)
+def test_what_does_not_fit_is_refused_and_changes_nothing(code: str) -> None:
+    for command in UNFIT[code]:
+        books = begun()
+        before = books.plain()[5:9]
+        assert (do(books, 10, command), books.plain()[5:9]) == ([code], before), command
+
+
+def test_bounds_on_all_that_is_kept(monkeypatch: pytest.MonkeyPatch) -> None:
+    for room, name, most in ((sessions, "SESSIONS", 3), (sessions, "PAST", 2), (budgets, "BUDGETS", 3),
+                             (budgets, "SCOPES", 3), (budgets, "SHARES", 3), (budgets, "PIECES", 4)):
+        monkeypatch.setattr(room, name, most)
+    monkeypatch.setitem(LISTS, "many", tuple(LINES._replace(name=one) for one in "abcd"))
+    books = begun()
+    assert do(books, 10, "open c 1", "open d 1", "define many") == ["c 3 1 3", "crowded", "crowded"]
+    assert do(books, 10, "grant lines/k 1:1", "grant lines/l 1:1", "grant lines/m 1:1 2:1")[2] == "crowded"
+    assert do(books, 10, "grant lines/m 1:1", "grant lines/n 1:0", "back a 1 lines/k 0") == ["", "", "0"]
+    assert do(books, 10, "lapse 1", "grant hellos 2:1", "grant tries 2:1") == ["", "", "crowded"], "no key is free"
+    ends = [word for one, name in enumerate("aefa", 4) for word in (f"open {name} {one}", f"lapse {one}")]
+    assert do(books, 2000, *ends)[::2] == ["a 4 2 3", "e 5 1 3", "f 6 1 3", "a 7 1 3"], "oldest forgotten"
+    do(books, 2000, "grant hellos 2:16")
+    for one in range(10):
+        do(books, 2020 + one, f"back b {one + 1} hellos {15 - one}")
+    assert books.plain()[8][0][2] == [[2520, 1], [2521, 1], [2522, 1], [2529, 7]]
+
+
+def test_an_entry_is_applied_once_and_the_desk_sees_what_is_there() -> None:
+    books = begun()
+    do(books, 20, "grant hellos/k 1:9 2:3", "grant hellos/k 1:4", "back b 1 hellos/k 1")
+    for index in (2, 1, 0):
+        with pytest.raises(ValueError, match="applied twice"):
+            books.apply(index, f.Batch(30, 3, ()))
+    assert [one[:4] for one in books.sessions()] == [(1, "a", "east", 1), (2, "b", "east", 1)]
+    assert books.session("b") == books.numbered(2) and books.session("c") is books.numbered(3) is None
+    assert books.sessions()[0].fence == A and books.refusal(A) is None
+    assert books.refusal(WHO["boot"]).code == "lapsed_lease"
+    assert books.shares("hellos/k") == ((1, 9, 4), (2, 1, 1)) and books.shares_of(1) == (("hellos/k", 9, 4),)
+    assert (books.held("hellos/k"), books.scopes(), books.budget("hellos/k")) == (2, ("hellos/k",), HELLOS)
+    assert books.defined() == LISTS["all"] and (books.time, books.index) == (20, 2)
+
+
+def test_damaged_snapshots_are_refused() -> None:
+    books = begun()
+    do(books, 20, "grant hellos/k 1:9", "back a 1 lines 30", "back a 2 hellos/k 2")
+    data = books.snapshot()
+    flipped = [data[:at] + bytes([data[at] ^ 1]) + data[at + 1:] for at in range(len(data))]
+    newer = data.replace(b"[1,", b"[2,", 1)
+    for bad in (b"", b"[]", b"{}", b"5", b"null", b"[" * 100_000, data[:-1], data + b" ", newer, *flipped):
+        with pytest.raises(DamagedBooksError):
+            Books.restored(bad)
+
+
+SCOPES = ("tries", "lines", "hellos", "hellos/k")
+
+
+def play(seed: int) -> Iterator[tuple[Books, f.Batch, tuple[f.Done, ...]]]:
+    """Random commands, the leader's and the relays' own, late ones and repeated ones too."""
+    chance, books, fences, given, at = Chance(seed), Books(), [A], [read("define all")], 0
+    for index in range(1, 40):
+        at, commands = at + chance.below(400) - 20, []
+        for mark in range(6 * index, 6 * index + 1 + chance.below(6)):
+            fence, scope = fences[chance.below(len(fences))], SCOPES[chance.below(4)]
+            shares = [f"{one.number}:{chance.below(30)}" for one in books.sessions() if chance.below(2)]
+            own = (f.Close(), f.GiveBack(scope, 0), f.GiveBack(scope, chance.below(12)))[chance.below(3)]
+            common = (f"open {'abcdef'[chance.below(6)]} {mark}", f"lapse {fence.session}",
+                      f"define {('all', 'small')[chance.below(2)]}",
+                      *[" ".join(("grant", scope, *shares))] * 5)[chance.below(8)]
+            one = f.Command(fence, mark, own) if not chance.below(4) else read(common)
+            commands.append(given[chance.below(len(given))] if not chance.below(8) else one)
+        given += commands
+        batch = f.Batch(at, 1 + index // 9, tuple(commands))
+        done = books.apply(2 * index, batch)
+        fences += [one.value for one in done if type(one.value) is f.Fence]
+        yield books, batch, done
+
+
+@pytest.mark.parametrize("seed", range(0, 400, 50))
+def test_replay_from_any_snapshot_comes_to_the_same_books(seed: int) -> None:
+    for one in range(seed, seed + 50):
+        log = [(books.index, batch, done, books.hash()) for books, batch, done in play(one)]
+        cut, again, each = Chance(one).below(len(log)), Books(), Books()
+        for at, (index, batch, done, hashed) in enumerate(log):
+            again = Books.restored(again.snapshot()) if at == cut else again
+            each = Books.restored(each.snapshot())
+            for books in (again, each):
+                assert books.apply(index, batch) == done and books.hash() == hashed, (one, at, cut)
+
+
+def in_use(scope: str, shares: dict[int, int], over: list[tuple[str, int, int]], now: int) -> int:
+    return sum(shares.values()) + sum(amount for name, amount, free in over if name == scope and free > now)
+
+
+def test_never_more_in_use_than_there_is() -> None:
+    """Counted from the commands and their outcomes alone, by rules written down here a second time."""
+    codes: set[str] = set()
+    for seed in range(1000, 1200):
+        shares: dict[str, dict[int, int]] = {scope: {} for scope in SCOPES}
+        over: list[tuple[str, int, int]] = []               # scope, amount, when it is free
+        now, marks, divided = 0, set(), {}
+        for books, batch, done in play(seed):
+            now = max(now, batch.at)
+            for (fence, mark, what), (_, code, _, _) in zip(batch.commands, done, strict=True):
+                codes.add(code)
+                less: list[tuple[str, int, int]] = []       # scope, session, what it keeps
+                if type(what) is f.Grant and code in ("", "over_whole"):
+                    mine = shares[what.budget]
+                    more = sum(max(share - mine.get(one, 0), 0) for one, share in what.shares)
+                    there = divided[what.budget.partition("/")[0]]
+                    assert (not more or in_use(what.budget, mine, over, now) + more <= there) == (not code), seed
+                    mine |= {one: max(share, mine.get(one, 0)) for one, share in what.shares if not code}
+                elif not code and type(what) is f.Define:
+                    divided = {one.name: one.whole - one.relays * one.floor for one in what.budgets}
+                elif not code and type(what) is f.GiveBack and (fence, mark) not in marks:
+                    less = [(what.budget, fence.session, what.keeps)]
+                elif not code and type(what) in (f.Lapse, f.Close):
+                    gone = fence.session if fence else what.session
+                    less = [(scope, gone, 0) for scope in SCOPES if gone in shares[scope]]
+                marks |= {(fence, mark)} if fence else set()
+                for scope, session, keeps in less:
+                    lasts = {"lines": 1000 * (type(what) is f.Lapse), "tries": 0}.get(scope, 500)
+                    over.append((scope, shares[scope].get(session, 0) - keeps, now + lasts))
+                    shares[scope][session] = keeps
+            for scope, most in zip(SCOPES, (60, 50, 16, 16), strict=True):
+                used = in_use(scope, shares[scope], over, now)
+                told = books.held(scope) + sum(granted for _, granted, _ in books.shares(scope))
+                assert used == told and used <= most, (seed, scope)
+    wanted = {"", "over_whole", "not_held", "lapsed_lease", "fenced_off", "name_taken", "no_such_budget"}
+    assert wanted <= codes, "the play has not come upon all that matters"
+
+
+def test_hash_does_not_rest_on_the_order_of_sets() -> None:
+    code = "import test_fleet_books as t; print([one.hash() for seed in range(20) for one, *_ in t.play(seed)])"
+    env = os.environ | {"PYTHONPATH": os.pathsep.join(["tests", *sys.path])}
+    told = {subprocess.run([sys.executable, "-c", code], env=env | {"PYTHONHASHSEED": seed}, check=True,
+                           capture_output=True, text=True, timeout=60).stdout for seed in "123"}
+    assert len(told) == 1 and len(told.pop()) > 3_000
