--- a/laurelcourse/fleet/books/apply.py
+++ b/laurelcourse/fleet/books/apply.py
@@ -168,17 +168,22 @@
 
     def plain(self) -> list:
         """Nested lists of ints and strings; the last one is the hash of the rest."""
+        rest = self._rest()
+        return [*rest, _hash(_written(rest))]
+
+    def _rest(self) -> list:
         s = self._state
-        rest = [FORM, s.index, s.time, s.last,
+        return [FORM, s.index, s.time, s.last,
                 [_session(s.live[one]) for one in sorted(s.live)],
                 [[name, past.boot, past.session, past.mark] for name, past in s.past.items()],
                 [list(budget) for budget in s.budgets.values()],
                 [list(s.leaving[name]) for name in sorted(s.leaving)],
                 [_scope(name, s.scopes[name]) for name in sorted(s.scopes)]]
-        return [*rest, _hash(_written(rest))]
 
     def snapshot(self) -> bytes:
-        return _written(self.plain())
+        """`plain` as JSON without blanks; the rest is written once, not a second time for its hash."""
+        rest = _written(self._rest())
+        return rest[:-1] + f',"{_hash(rest)}"]'.encode()
 
     def hash(self) -> str:
         return _hash(self.snapshot())
--- a/laurelcourse/fleet/books/budgets.py
+++ b/laurelcourse/fleet/books/budgets.py
@@ -58,6 +58,10 @@
     if len(new) < len(what.budgets):
         raise DefinitionRefusedError("define", fault="two budgets have one name")
     known = state.leaving | state.budgets
+    for base in sorted({named(name) for name in state.scopes} & new.keys()):
+        # What is held as a level must not be freed like a rate.
+        if new[base].kind != known[base].kind:
+            raise DefinitionRefusedError(base, fault="its kind changes while in use: give it another name")
     state.budgets = new
     state.leaving = {}
     for name in sorted(state.scopes):
--- a/tests/test_fleet_books.py
+++ b/tests/test_fleet_books.py
@@ -1,5 +1,6 @@
 """The fleet's books: each rule by a script; any prefix replayed; never more in use than there is."""
 
+import json
 import os
 import subprocess
 import sys
@@ -20,7 +21,7 @@
 LINES = f.Budget("lines", f.LEVEL, 50, 0, 4, 0, 1000)
 HELLOS = f.Budget("hellos", f.COUNT, 20, 1, 4, 500, 0)               # 16 to divide
 LISTS = {"all": (TRIES, LINES, HELLOS), "small": (LINES._replace(whole=5),),
-         "high": (TRIES._replace(relays=11),)}
+         "high": (TRIES._replace(relays=11),), "kind": (LINES._replace(kind=f.RATE), TRIES)}
 
 
 def read(step: str) -> f.Command:
@@ -78,6 +79,8 @@
 level closed: grant lines 1:50; close a 1; grant lines 2:50
 count back: grant hellos/k 1:16; back a 1 hellos/k 6; at 519; grant hellos/k 2:1 = over_whole; at 520
  ; grant hellos/k 2:10
+count twice: grant hellos 1:16; back a 1 hellos 8; at 21; back a 2 hellos 0; at 520; grant hellos 2:8
+ ; grant hellos 2:9 = over_whole; at 521; grant hellos 2:16
 count lapsed: grant hellos 1:16; lapse 1; at 519; grant hellos 2:1 = over_whole; at 520; grant hellos 2:16
 count closed: grant hellos 1:16; close a 1; at 519; grant hellos 2:1 = over_whole; at 520; grant hellos 2:16
 time back: at 600; grant hellos 1:16; at 20; lapse 1; at 1099; grant hellos 2:1 = over_whole; at 1100
@@ -90,6 +93,7 @@
 gone: grant hellos 1:16; define small; grant hellos 1:16 = no_such_budget; back a 1 hellos 0; define all
  ; at 519; grant hellos 1:1 = over_whole; define small; at 520; back a 2 hellos 0 = no_such_budget
 nobody: lapse 1; grant lines 1:0 = lapsed_lease; lapse 1 = lapsed_lease
+kinds: grant lines 1:1; define kind = definition_refused; back a 1 lines 0; define kind; grant lines 1:50
 floors: define high = floors_over_whole; grant tries 2:60
 """
 
@@ -111,6 +115,7 @@
 def test_marks_too_old() -> None:
     books = begun()
     assert do(books, 20, *(f"back a {mark} lines 0" for mark in range(2, 67))) == ["0"] * 65
+    books = Books.restored(books.snapshot())
     late = [f"back a {mark} lines 0" for mark in (3, 2, 1)]
     assert do(books, 20, *late) == ["0", "mark_forgotten", "mark_forgotten"]
 
@@ -153,10 +158,12 @@
     books = begun()
     assert do(books, 10, "open c 1", "open d 1", "define many") == ["c 3 1 3", "crowded", "crowded"]
     assert do(books, 10, "grant lines/k 1:1", "grant lines/l 1:1", "grant lines/m 1:1 2:1")[2] == "crowded"
-    assert do(books, 10, "grant lines/m 1:1", "grant lines/n 1:0", "back a 1 lines/k 0") == ["", "", "0"]
+    assert do(books, 10, "grant lines/m 1:1", "grant lines/n 1:0") == ["", ""]
+    books = Books.restored(books.snapshot())
+    assert do(books, 10, "grant lines/m 2:1", "back a 1 lines/k 0") == ["crowded", "0"]
     assert do(books, 10, "lapse 1", "grant hellos 2:1", "grant tries 2:1")[2] == "crowded", "keys in use"
-    ends = [word for one, name in enumerate("aefa", 4) for word in (f"open {name} {one}", f"lapse {one}")]
-    assert do(books, 2000, *ends)[::2] == ["a 4 2 3", "e 5 1 3", "f 6 1 3", "a 7 1 3"], "oldest forgotten"
+    ends = [word for one, name in enumerate("aeafae", 4) for word in (f"open {name} {one}", f"lapse {one}")]
+    assert do(books, 2000, *ends)[::2] == ["a 4 2 3", "e 5 1 3", "a 6 3 3", "f 7 1 3", "a 8 4 3", "e 9 1 3"]
     do(books, 2000, "grant hellos 2:16")
     for one in range(10):
         do(books, 2020 + one, f"back b {one + 1} hellos {15 - one}")
@@ -176,17 +183,22 @@
     assert books.shares("hellos/k") == ((1, 9, 4), (2, 1, 1)) and books.shares_of(1) == (("hellos/k", 9, 4),)
     assert (books.held("hellos/k"), books.scopes(), books.budget("hellos/k")) == (2, ("hellos/k",), HELLOS)
     assert books.defined() == LISTS["all"] and (books.time, books.index) == (20, 2)
+    do(books, 20, "define small")
+    assert books.shares("hellos/k") == ((1, 9, 0), (2, 1, 0)), "of a budget gone, all is asked back"
 
 
 def test_damaged_snapshots_are_refused() -> None:
     books = begun()
     do(books, 20, "grant hellos/k 1:9", "back a 1 lines 30", "back a 2 hellos/k 2")
     data = books.snapshot()
+    assert json.loads(data) == books.plain() and Books.restored(data).plain() == books.plain()
     flipped = [data[:at] + bytes([data[at] ^ 1]) + data[at + 1:] for at in range(len(data))]
     newer = data.replace(b"[1,", b"[2,", 1)
-    for bad in (b"", b"[]", b"{}", b"5", b"null", b"[" * 100_000, data[:-1], data + b" ", newer, *flipped):
+    for bad in (b"", b"[]", b"{}", b"5", b"null", b"[" * 100_000, data[:-1], data + b" ", *flipped):
         with pytest.raises(DamagedBooksError):
             Books.restored(bad)
+    with pytest.raises(DamagedBooksError, match="form 2, this version reads 1"):
+        Books.restored(newer)
 
 
 SCOPES = ("tries", "lines", "hellos", "hellos/k")
