--- a/laurelcourse/fleet/calls/client.py
+++ b/laurelcourse/fleet/calls/client.py
@@ -35,7 +35,8 @@
 Told = Callable[[Answer | FleetError], None]
 # A keeper's words after which another keeper, or the same one later, may do better. All others are final.
 ELSEWHERE = ("no_quorum", "not_leader", "other_fleet", "other_version", "overloaded", "stopping",
-             "unknown_fate", "unreadable", "disk_full", "disk_failed")
+             "unknown_fate", "unreadable", "disk_full", "disk_failed", "older_disk", "damaged_books",
+             "books_differ")
 
 
 class Order(NamedTuple):
@@ -153,7 +154,7 @@
                     at = str(told.get("leader", ""))
                 else:
                     last = made(answer.code, answer.to, told)
-                    sent |= answer.code in ("unknown_fate", "disk_full", "disk_failed")
+                    sent |= answer.code in ("unknown_fate", "disk_full", "disk_failed", "books_differ")
                     at = name if answer.code == "overloaded" else ""
             self.leader = at
             asked += 1
--- a/tests/test_fleet_calls.py
+++ b/tests/test_fleet_calls.py
@@ -34,7 +34,7 @@
 FENCE = books.Fence("relay-1", 7, 3, 2)
 MARK = keeper.Mark("d1", 2, 9)
 VOTERS = keeper.Keepers(("a", "b"), ("c",))
-BEAT = orders.Beat(FENCE, (("probes", 9), ("tries/x", 0)))
+BEAT = orders.Beat(FENCE, (("probes", 9), ("tries/x", 0)), uses=(("probes", 7),))
 RENEWED = orders.Renewed(10 * SECOND, (orders.Share("probes", 5, 4),))
 ASKED = orders.Question("hash")
 BUDGET = books.Budget("probes", books.LEVEL, 90, 1, 30, 0, SECOND)
@@ -279,6 +279,7 @@
     (refused("not_leader", leader="none"), errors.NoQuorumError),
     (refused("overloaded", waiting=1, at_most=1), errors.OverloadedError),
     (refused("stopping"), errors.StoppingError), (refused("never heard of"), books.Done),
+    (refused("older_disk", held=1, said=2), errors.OlderDiskError),
     (Future(), errors.UnknownFateError),
     (books.Done(("x" * 2000,) * 40), books.Done)])
 def test_what_a_keeper_refuses_comes_out_by_type(ground: Ground, answer: object, heard: type) -> None:
