What frees a count or a level is reckoned by a clock that may run fast; words end with their session

Cause: a count was free again after its window by the leader's clock, which may run fast by the stated drift; a word that could not be sent bound its relay for ever (member._give_back), one of an ended session until the next answer.

--- a/laurelcourse/fleet/budgets/holder.py
+++ b/laurelcourse/fleet/budgets/holder.py
@@ -83,14 +83,11 @@
             if name in self.budgets:
                 self.uses[scope] = Use(self.budgets[name], self.started + self.budgets[name].window)
                 self.asked_at[scope] = now
+        # A session that is over takes its words with it: what is told next is another one's.
         usable = self.session.usable(now)
-        until = (self.session.granted_at or 0) + self.session.terms.holds()
+        until = self.session.granted_at + self.session.terms.holds() if usable else 0
         for scope in sorted(self.uses):
-            share = shares.get(scope)
-            if share is not None or not usable:
-                self.uses[scope].told(now, share, until)
-            else:
-                self.uses[scope].told(now, None, until)
+            self.uses[scope].told(now, shares.get(scope), until)
 
     def give_backs(self, now: int) -> list[GiveBack]:
         found = [(scope, self.uses[scope].keeps(now)) for scope in sorted(self.uses)]
--- a/laurelcourse/fleet/member.py
+++ b/laurelcourse/fleet/member.py
@@ -98,7 +98,8 @@
             try:
                 command = self.session.command(what, now)
             except FleetError as error:
-                # Nothing more is used of it; when the session ends or is told anew, so is the word.
+                # The word was never sent: it must not bind this relay for ever.
+                self.holder.given(now, what)
                 self._doubt(error)
                 continue
             self._send(Submit((command,), now), self._given)
--- a/laurelcourse/fleet/terms.py
+++ b/laurelcourse/fleet/terms.py
@@ -10,13 +10,18 @@
     """Budgets and keepers sorted by name, so that their order in the file changes nothing in the books."""
     told = fleet.bounds
     budgets = sorted(fleet.budgets, key=lambda one: one.name)
+
+    def longer(time: int) -> int:
+        """By a clock that may run fast, such a time is surely over only so much later."""
+        return time and time + time * fleet.drift // 1_000_000 + 1
+
     return Terms(
         fleet=fleet.name, lease=fleet.lease, drift=fleet.drift, beat=fleet.beat, sessions=fleet.sessions,
         bounds=Bounds(beat=told.heartbeat, patience=told.patience, batch=told.batch, ahead=told.ahead,
                       piece=told.piece, waiting=told.waiting),
         keepers=Keepers(tuple(sorted(one.name for one in fleet.keepers))),
-        budgets=tuple(Budget(one.name, one.kind, one.whole, one.floor, one.relays, one.window,
-                             one.freed_after) for one in budgets),
+        budgets=tuple(Budget(one.name, one.kind, one.whole, one.floor, one.relays, longer(one.window),
+                             longer(one.freed_after)) for one in budgets),
         snapshot_every=told.snapshot_every)
 
 
