--- a/laurelcourse/fleet/keeper/core.py
+++ b/laurelcourse/fleet/keeper/core.py
@@ -213,7 +213,6 @@
         if self.role == LEADER and role != LEADER:
             self._refused += [(token, why) for token in self._reads.drop()]
             self._progress, self._handing = {}, ""
-            self._heard = -NEVER
         if role in (FOLLOWER, CANDIDATE) and (role, leader) != (self.role, self.leader):
             self._rearm(now)
         self.role, self.leader = role, leader
--- a/tests/test_fleet_core.py
+++ b/tests/test_fleet_core.py
@@ -194,6 +194,8 @@
         fleet.say(sender, "b", vote)
         assert core.role == forms.CANDIDATE
     fleet.say("a", "b", forms.Vote(core.term, True, False))
+    assert core.role == LEADER and core.marks.of("a").term == core.term
+    fleet.say("c", "b", forms.Append(core.term, 0, 0, (), 0, 1))  # a term has one leader
     assert core.role == LEADER
     return fleet, core
 
@@ -345,6 +347,9 @@
     fleet.carry("c", fleet.cores["c"].hand_over(fleet.now, "b"))  # it can't be reached: leads on
     fleet.rest(BOUNDS.patience)
     assert fleet.leading() == "c" and fleet.propose("c", 3) == ""
+    fleet.rest()
+    fleet.carry("c", fleet.cores["c"].hand_over(fleet.now))
+    fleet.run(lambda: fleet.leading() == "a", BOUNDS.patience // 2)  # the one furthest ahead
 
 
 def test_keepers_come_and_go_one_at_a_time() -> None:
@@ -379,11 +384,13 @@
 
 
 def test_no_change_before_an_entry_of_the_own_term_is_committed() -> None:
-    fleet, core = elected(disk("b", 1)._replace(entries=(named(1, 1, ABC),)))
+    fleet, core = elected(disk("b", term=1)._replace(snapshot=forms.Snapshot(1, 1, ABC, b"|1")))
     fleet.say("a", "b", forms.Appended(2, True, 1, 1))
-    assert core.commit == 0 and fleet.change("b", "abc", "d") == "change_under_way"
+    assert core.commit == 1 and fleet.change("b", "abc", "d") == "change_under_way"
     fleet.say("a", "b", forms.Appended(2, True, 2, 1))
     assert fleet.change("b", "abc", "d") == "" and fleet.change("b", "abc") == "change_under_way"
+    out = fleet.say("a", "b", forms.Appended(2, True, 3, 1))
+    assert [to for to, message in out.send if message.commit == 3] == ["a", "c", "d"]  # told at once
 
 
 @pytest.mark.parametrize("without", [Keepers(("a", "c")), Keepers(("a", "c"), ("b",))])
@@ -508,7 +515,7 @@
 
 def test_marks_never_go_back_and_what_may_be_cut_is_not_told() -> None:
     marks = proving.Marks("b", {})
-    for mark in (("", 1, 5), ("d", 1, 3), ("other", 9, 9), ("", 2, 0)):
+    for mark in (("", 1, 5), ("d", 1, 3), ("other", 9, 9), ("", 2, 0), ("", 1, 9)):
         marks.note("c", forms.Mark(*mark))
     assert marks.by_name == {"c": forms.Mark("d", 2, 0)}
     fleet = Fleet(disks={"b": disk("b", 1, 1, term=2)}, names="b")
