Keeper core: marks only of keepers

A caller with any name could make a keeper write a mark of it to disk. Only names in the list of keepers are marked now; one that is not yet in it holds nothing that counts.

--- a/laurelcourse/fleet/keeper/core.py
+++ b/laurelcourse/fleet/keeper/core.py
@@ -245,7 +245,9 @@
 
     def _on_hello(self, sender: str, hello: Hello) -> None:
         held, seen = Mark(hello.disk, hello.term, hello.index), self.marks.of(sender)
-        if not (is_older := older(held, seen)):
+        is_older = older(held, seen)
+        # one that is no keeper yet holds nothing that counts; whoever calls must not fill the disk with names
+        if not is_older and sender in (*self.keepers.voters, *self.keepers.learners):
             self.marks.note(sender, held)
         self._send.append((sender, Known(self.term, hello.disk, is_older, seen)))
 
@@ -307,7 +309,7 @@
         self._send.append((sender, Vote(self.term, granted, False)))
 
     def _on_vote(self, now: int, sender: str, vote: Vote) -> None:
-        if vote.granted and not vote.trial:
+        if vote.granted and not vote.trial and sender in self.keepers.voters:
             self.marks.note(sender, Mark("", vote.term, 0))
         asked = self.role == CANDIDATE and vote.trial == self._trial and vote.term == self.term + vote.trial
         if asked and vote.granted and sender in self.keepers.voters:
--- a/tests/test_fleet_core.py
+++ b/tests/test_fleet_core.py
@@ -509,6 +509,8 @@
     fleet = Fleet(disks={"b": disk("b", 1)}, names="b")
     fleet.say(sender, "b", forms.Known(*said[:3], forms.Mark(*said[3])))
     assert fleet.cores["b"].role == role
+    out = fleet.say("x", "b", forms.Hello(4, "disk-x", 0))
+    assert out.send[0][1].older is False and out.write is None  # no keeper, no mark
     out = fleet.say("c", "b", forms.Hello(4, "disk-c", 0))
     assert out.send[0][1].older is False and out.write.marks == {"c": forms.Mark("disk-c", 4, 0)}
 
