--- a/tests/test_fleet_core.py
+++ b/tests/test_fleet_core.py
@@ -194,7 +194,7 @@
         fleet.say(sender, "b", vote)
         assert core.role == forms.CANDIDATE
     fleet.say("a", "b", forms.Vote(core.term, True, False))
-    assert core.role == LEADER and core.marks.of("a").term == core.term
+    assert core.role == LEADER and core.marks.by_name == {"a": forms.Mark("", core.term, 0)}
     fleet.say("c", "b", forms.Append(core.term, 0, 0, (), 0, 1))  # a term has one leader
     assert core.role == LEADER
     return fleet, core
