--- a/tests/test_fleet_store.py
+++ b/tests/test_fleet_store.py
@@ -45,6 +45,13 @@
     return time.monotonic_ns() // 1000
 
 
+def until(what: Callable[[], object]) -> None:
+    end = time.monotonic() + 10
+    while not what():
+        assert time.monotonic() < end
+        time.sleep(0.001)
+
+
 def opened(folder: Path) -> Store:
     return Store.open(folder, "f", "a", 1)
 
@@ -113,8 +120,9 @@
 
 
 @pytest.mark.parametrize("sql", [
-    "DELETE FROM log WHERE place = 20", "DELETE FROM log WHERE place > 29", "DELETE FROM log WHERE place < 12",
-    "UPDATE log SET term = 4 WHERE place = 30", "UPDATE log SET data = CAST(data AS TEXT) WHERE place = 30",
+    "DELETE FROM log WHERE place = 20", "DELETE FROM log WHERE place > 29",
+    "DELETE FROM log WHERE place < 12", "UPDATE log SET term = 4 WHERE place = 30",
+    "UPDATE log SET data = CAST(data AS TEXT) WHERE place = 30",
     "DELETE FROM snapshot", "UPDATE snapshot SET voters = 'a'", "UPDATE marks SET place = 8",
     "DROP TABLE marks", "CREATE TABLE more (a)", "DELETE FROM head", "UPDATE head SET vote = 'b'",
     "UPDATE head SET term = 8", "PRAGMA application_id = 1", "PRAGMA user_version = 0",
@@ -124,7 +132,7 @@
     db = sqlite3.connect(tmp_path / FILE, isolation_level=None)
     db.execute(sql)
     db.close()
-    with pytest.raises(errors.NewerBooksError if sql[-1] == "2" else errors.DamagedBooksError) as found:
+    with pytest.raises(errors.NewerBooksError if sql.endswith("version = 2") else errors.DamagedBooksError) as found:
         opened(tmp_path)
     assert "\n" not in str(found.value)
 
@@ -178,23 +186,20 @@
 
 
 def test_whatever_was_acknowledged_outlives_kill_9_and_a_failing_disk(tmp_path: Path) -> None:
-    chance, last = Chance(11), 0
+    chance, last, told, fault = Chance(11), 0, tmp_path / "told", tmp_path / "fault"
     for turn in range(int(os.environ.get("KILLS", "8"))):
         limit = 0 if turn else 40_000  # bytes that a file may have, once: a failing write, told as such
-        with subprocess.Popen([sys.executable, "-c", CHILD, str(tmp_path), str(limit)], text=True,
-                              cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.PIPE) as one:
+        order = [sys.executable, "-c", CHILD, str(tmp_path), str(limit)]
+        with told.open("w") as out, fault.open("w") as err, subprocess.Popen(
+                order, cwd=ROOT, stdout=out, stderr=err) as one:
             try:
-                for _ in range(1 + chance.below(12) if turn else 0):
-                    last = int(one.stdout.readline())
+                lines = 1 + chance.below(12)
+                until(lambda: one.poll() is not None or told.read_text().count("\n") >= lines)  # noqa: B023
                 time.sleep(chance.below(3000) / 1e6)  # the moment of the fault, anywhere between two writes
-                if turn:
-                    one.kill()
-                rest, fault = one.communicate(timeout=20)
             finally:
-                one.kill()
-        assert turn or errors.DiskFailedError.__name__ in fault
-        last = max([last, *map(int, rest.split("\n")[:-1])])
-        now = kept(tmp_path)
+                one.kill() if turn else one.wait(10)
+        assert turn or errors.DiskFailedError.__name__ in fault.read_text()
+        last, now = max([last, *map(int, told.read_text().split("\n")[:-1])]), kept(tmp_path)
         assert last <= now.term <= last + 1 and now.vote == f"v{now.term}"
         assert now.entries[-1].index == now.term and now.entries[-1].data == b"x" * (now.term * 7919 % 9000)
         last = now.term
@@ -250,13 +255,6 @@
                        clock, self.log)
 
 
-def until(what: Callable[[], object]) -> None:
-    end = time.monotonic() + 10
-    while not what():
-        assert time.monotonic() < end
-        time.sleep(0.001)
-
-
 WRITE, ORDER = Write(3, "b"), Submit(())
 ACTS = Acts(WRITE, (("b", TakeOver(3)), ("c", TakeOver(3))), ((0, Done("yes")),),
             (Note("warning", "said", (("name", "x"), ("of", 1))),))
