A keeper that starts waits a patience for those that may have noted more of its disk

Cause: Core._prove passed with half of the others. Change: with fewer than all others it goes on asking for a patience; any word of an older disk refuses it. Measured: core's tests pass, with one for the later word that fails without the wait.

--- a/laurelcourse/fleet/keeper/core.py
+++ b/laurelcourse/fleet/keeper/core.py
@@ -60,6 +60,7 @@
         self.commit = self.applied = self.log.first
         self.marks, self._disk = Marks(me, kept.marks), kept.disk
         self._proved: set[str] = set()
+        self._proved_at = NEVER  # when so many are enough
         # a disk copied before a vote looks like the disk after it: no new vote in the term found on disk
         self._spent_term = kept.term
         self._saved, self._told = (self.term, self.vote), (self.role, self.term, self.leader)
@@ -89,12 +90,14 @@
             until = self._handing_until if self._handing else NEVER
             return min(self._beat_at, self._alone_at(), until)
         if self.role == PROVING:
-            return self._beat_at
+            return min(self._beat_at, self._proved_at)
         return NEVER if self.role == REFUSED else self._deadline
 
     def tick(self, now: int) -> Out:
-        if self.role == PROVING and now >= self._beat_at:
-            self._hello(now)
+        if self.role == PROVING:
+            if now >= self._beat_at:
+                self._hello(now)
+            self._prove(now)
         elif self.role in (FOLLOWER, CANDIDATE) and now >= self._deadline:
             self._campaign(now, trial=True)
         elif self.role == LEADER and now >= self._alone_at():
@@ -233,7 +236,11 @@
         return tuple(name for name in self.keepers.voters if name != self.me)
 
     def _prove(self, now: int) -> None:
-        if len(self._proved) >= len(self.keepers.voters) // 2:
+        # With fewer than all, one that has noted more may not be heard yet: it is asked for a patience.
+        enough = len(self._proved) >= len(self.keepers.voters) // 2
+        if enough and self._proved_at == NEVER:
+            self._proved_at = now + self.bounds.patience
+        if enough and (now >= self._proved_at or self._proved >= set(self._others())):
             self._become(now, FOLLOWER, self.term, "")
             if self.keepers.voters == (self.me,):
                 self._deadline = now  # there is nobody whom waiting would spare
--- a/tests/test_fleet_core.py
+++ b/tests/test_fleet_core.py
@@ -179,7 +179,7 @@
 def begun(kept: Kept, keepers: Keepers = ABC) -> tuple[Fleet, Core]:
     """The keeper `b` by itself, proved, with that disk; what it says is looked at by hand."""
     fleet = Fleet(keepers, disks={"b": kept}, names="b")
-    for other in "ac":
+    for other in "acde":
         fleet.say(other, "b", forms.Known(0, kept.disk, False, forms.Mark("", 0, 0)))
     return fleet, fleet.cores["b"]
 
@@ -491,15 +491,27 @@
     fleet.start("c", kept)
     assert fleet.cores["c"].role == PROVING
     assert not fleet.say("b", "c", forms.AskVote(99, 99, 99, False, True)).send
-    fleet.rest()
+    fleet.rest(2 * BOUNDS.patience)
     assert fleet.cores["c"].role == role and (role == FOLLOWER or fleet.cores["c"].due() == NEVER)
     fleet.start(leader)
     fleet.rest(9 * BOUNDS.patience)
     assert fleet.leading() and (fleet.cores["c"].role == REFUSED) == (role == REFUSED)
 
 
+@pytest.mark.parametrize("later, role", [(None, FOLLOWER), (True, REFUSED)])
+def test_one_that_may_have_noted_more_is_waited_for_a_patience(later: bool | None, role: str) -> None:
+    fleet = Fleet(disks={"b": disk("b", 1)}, names="b")
+    fleet.say("a", "b", forms.Known(1, "disk-b", False, forms.Mark("", 0, 0)))
+    fleet.rest(BOUNDS.patience // 2)
+    if later:
+        fleet.say("c", "b", forms.Known(1, "disk-b", True, forms.Mark("disk-b", 1, 2)))
+    fleet.rest(BOUNDS.patience)
+    assert fleet.cores["b"].role == role
+
+
 @pytest.mark.parametrize("sender, said, role", [
-    ("a", (1, "disk-b", False, ("disk-b", 1, 1)), FOLLOWER),
+    ("a", (1, "disk-b", False, ("disk-b", 1, 1)), PROVING),       # the other one may know more
+    ("ac", (1, "disk-b", False, ("disk-b", 1, 1)), FOLLOWER),
     ("a", (1, "disk-b", True, ("", 0, 0)), REFUSED),
     ("a", (1, "disk-b", False, ("disk-b", 1, 2)), REFUSED),       # what was seen is more, whatever it says
     ("a", (1, "disk-b", False, ("another", 0, 0)), REFUSED),
@@ -507,7 +519,8 @@
     ("x", (1, "disk-b", False, ("", 0, 0)), PROVING)])            # no voter
 def test_what_the_others_know_of_a_disk(sender: str, said: tuple, role: str) -> None:
     fleet = Fleet(disks={"b": disk("b", 1)}, names="b")
-    fleet.say(sender, "b", forms.Known(*said[:3], forms.Mark(*said[3])))
+    for one in sender:
+        fleet.say(one, "b", forms.Known(*said[:3], forms.Mark(*said[3])))
     assert fleet.cores["b"].role == role
     out = fleet.say("x", "b", forms.Hello(4, "disk-x", 0))
     assert out.send[0][1].older is False and out.write is None  # no keeper, no mark
