Workflows in the books: every transition checked against the definition; the owner's side as values

A client that dies in the middle of a booking leaves holds behind. Definitions, commands, states, the owner's turns and the taking over of orphans, all pure.

--- a/laurelcourse/fleet/books/apply.py
+++ b/laurelcourse/fleet/books/apply.py
@@ -8,9 +8,11 @@
 from hashlib import blake2b
 from typing import NamedTuple
 
-from laurelcourse.fleet.books import budgets, sessions
+from laurelcourse.fleet.books import budgets, sessions, workflows
 from laurelcourse.fleet.books.forms import (
+    Adopt,
     Batch,
+    Begin,
     Budget,
     Close,
     Command,
@@ -19,8 +21,13 @@
     Fence,
     GiveBack,
     Grant,
+    Intend,
     Lapse,
+    Leave,
+    Limits,
     Open,
+    Result,
+    Settle,
 )
 from laurelcourse.fleet.books.state import Past, Scope, Session, State
 from laurelcourse.fleet.errors import (
@@ -32,7 +39,9 @@
 )
 
 FORM = 1                                     # of the snapshot
-FROM_LEADER, FROM_SESSION = (Lapse, Define, Grant), (Close, GiveBack)
+FROM_LEADER = Lapse, Define, Grant, Limits
+OF_WORKFLOWS = Begin, Intend, Result, Leave, Settle, Adopt
+FROM_SESSION = Close, GiveBack, *OF_WORKFLOWS
 
 
 class Live(NamedTuple):
@@ -65,6 +74,7 @@
             raise ValueError(f"entry {index} after {self._state.index}: applied twice")
         self._state.index, self._state.time = index, max(self._state.time, batch.at)
         budgets.free(self._state)
+        workflows.forget(self._state)
         return tuple(self._one(batch.term, command) for command in batch.commands)
 
     def _one(self, term: int, command: Command) -> Done:
@@ -73,7 +83,8 @@
                 raise UnreadableError("command", fault="its form")
             if type(command.what) is Open:
                 return Done(sessions.opened(self._state, term, command.what, command.mark))
-            if type(command.what) in FROM_LEADER:
+            by_leader = type(command.what) is Adopt and command.fence is None
+            if type(command.what) in FROM_LEADER or by_leader:
                 return self._from_leader(command)
             if type(command.what) in FROM_SESSION:
                 return self._from_session(command)
@@ -92,6 +103,10 @@
                 budgets.define(state, what)
             case Grant():
                 budgets.grant(state, what)
+            case Limits():
+                workflows.limit(state, what)
+            case Adopt():
+                return Done(workflows.adopt(state, what, what.to))
         return Done()
 
     def _from_session(self, command: Command) -> Done:
@@ -104,7 +119,10 @@
             self._end(session, budgets.CLOSED)
             return Done()
         try:
-            done = Done((budgets.give_back(state, session, what),))
+            if type(what) in OF_WORKFLOWS:
+                done = Done(workflows.carry_out(state, session, what))
+            else:
+                done = Done((budgets.give_back(state, session, what),))
         except FleetError as error:
             done = _refused(error)
         sessions.keep(session, command.mark, done)
@@ -164,6 +182,29 @@
         there = self._state.scopes.get(scope)
         return there.held() if there else 0
 
+    def workflow(self, number: int) -> workflows.View | None:
+        flow = self._state.flows.all.get(number)
+        return workflows.view(flow) if flow else None
+
+    def workflow_of(self, tenant: str, mark: str) -> workflows.View | None:
+        """The one that this client's mark began."""
+        return self.workflow(self._state.flows.marks.get((tenant, mark), 0))
+
+    def workflows_of(self, session: int) -> tuple[int, ...]:
+        """Numbers of those in flight that this session owns."""
+        flows = self._state.flows.open
+        return tuple(one for one in sorted(flows) if flows[one].owner == session)
+
+    def orphans(self) -> tuple[tuple[int, int], ...]:
+        """Number and former owner of those in flight whose owner's session is over."""
+        flows = self._state.flows.open
+        return tuple((one, flows[one].owner) for one in sorted(flows)
+                     if flows[one].owner not in self._state.live)
+
+    def behind(self) -> int:
+        """How many are undoing or stuck."""
+        return self._state.flows.behind
+
     # All of it, as it goes from one keeper to another
 
     def plain(self) -> list:
@@ -178,7 +219,8 @@
                 [[name, past.boot, past.session, past.mark] for name, past in s.past.items()],
                 [list(budget) for budget in s.budgets.values()],
                 [list(s.leaving[name]) for name in sorted(s.leaving)],
-                [_scope(name, s.scopes[name]) for name in sorted(s.scopes)]]
+                [_scope(name, s.scopes[name]) for name in sorted(s.scopes)],
+                workflows.plain(s.flows)]
 
     def snapshot(self) -> bytes:
         """`plain` as JSON without blanks; the rest is written once, not a second time for its hash."""
@@ -234,7 +276,7 @@
 
 def _read(plain: list) -> State:
     state = State()
-    _, state.index, state.time, state.last, live, past, defined, leaving, scopes, _ = plain
+    _, state.index, state.time, state.last, live, past, defined, leaving, scopes, flows, _ = plain
     for fence, site, mark, opened, forgotten, dones in live:
         session = Session(Fence(*fence), site, mark, opened)
         session.forgotten = forgotten
@@ -253,4 +295,5 @@
         state.next_free = min([state.next_free, *(when for when, _ in scope.pieces)])
         for session in scope.shares:
             state.live[session].scopes.add(name)
+    state.flows = workflows.read(flows)
     return state
--- a/laurelcourse/fleet/books/forms.py
+++ b/laurelcourse/fleet/books/forms.py
@@ -7,6 +7,8 @@
 
 from typing import NamedTuple
 
+from laurelcourse.fleet.workflows.definition import Definition
+
 RATE, LEVEL, COUNT = "rate", "level", "count"
 
 
@@ -89,7 +91,77 @@
     keeps: int
 
 
-What = Open | Close | Lapse | Define | Grant | GiveBack
+# Workflows (`fleet/workflows/definition.py`)
+
+COMPLETED, NEVER_RAN, UNKNOWN, FAILED = "completed", "never_ran", "unknown", "failed"   # of a try
+LEFT, LATE, GAVE_UP = "left", "late", "gave_up"                                         # why it turns back
+BY_HAND, AGAIN = "by_hand", "again"                                                     # what an operator did
+
+
+class Limits(NamedTuple):
+    """On workflows, from the leader, as the operators' settings have them."""
+
+    in_flight: int
+    by_tenant: int
+    behind: int                  # undoing or stuck: with so many none begins
+    keeps: int                   # microseconds for which a finished one can be asked for
+
+
+class Begin(NamedTuple):
+    """Value: the workflow's number and state. The same tenant's same mark finds the same workflow, whoever
+    asks; it belongs to the session that asked first."""
+
+    tenant: str
+    mark: str                    # the client's
+    definition: Definition
+    values: tuple[tuple[str, str], ...] = ()
+
+
+class Intend(NamedTuple):
+    """Before a step, or its undo, is sent. Value: the req's id, and the key that all tries of it share."""
+
+    workflow: int
+    step: int
+    undo: bool
+    tried: int                   # which try it is, from 1
+
+
+class Result(NamedTuple):
+    """What came of that try. Value: the workflow's state."""
+
+    workflow: int
+    step: int
+    undo: bool
+    tried: int
+    outcome: str                 # COMPLETED, NEVER_RAN, UNKNOWN, FAILED: surely without effect, for good
+
+
+class Leave(NamedTuple):
+    """Turn back, unless the point of no return may be passed. From any relay. Value: the state."""
+
+    workflow: int
+    why: str
+
+
+class Settle(NamedTuple):
+    """An operator's word on a stuck step: done by hand, or to be tried again. Value: the state."""
+
+    workflow: int
+    step: int
+    how: str
+
+
+class Adopt(NamedTuple):
+    """The workflow of a session that is over goes to the asker's or, by the leader's word, to session `to`.
+    Value: the state."""
+
+    workflow: int
+    former: int
+    to: int = 0
+
+
+What = (Open | Close | Lapse | Define | Grant | GiveBack
+        | Limits | Begin | Intend | Result | Leave | Settle | Adopt)
 
 
 class Done(NamedTuple):
--- a/laurelcourse/fleet/books/state.py
+++ b/laurelcourse/fleet/books/state.py
@@ -5,7 +5,8 @@
 microseconds of the books' own account, amounts whole numbers.
 """
 
-from laurelcourse.fleet.books.forms import Budget, Done, Fence
+from laurelcourse.fleet.books.forms import Budget, Done, Fence, Limits
+from laurelcourse.fleet.workflows.definition import Definition
 
 MARKS = 64             # of each live session, whose outcomes are kept
 PAST = 1_000           # names without a live session whose boots are remembered
@@ -14,6 +15,9 @@
 SCOPES = 4_096         # budgets and keys of them (`name/key`) with anything in use
 SHARES = 1 << 18       # of all sessions in all scopes
 PIECES = 64            # of one scope that wait for their time to be free
+FLOWS = 1 << 16        # workflows, finished ones with them
+VALUES = 64            # of one workflow
+LIMITS = Limits(10_000, 1_000, 1_000, 3_600_000_000)     # until the leader has told others
 TEXT = 256             # bytes of a name, a site, a scope
 AMOUNT = 1 << 48       # the largest amount or duration: no sum of as many as there may be leaves 63 bits
 NUMBER = (1 << 63) - 1
@@ -57,11 +61,55 @@
         return sum(granted for granted, _ in self.shares.values()) + self.held()
 
 
+class Try:
+    """One step of a workflow. `tries` of itself and `undo_tries` never fall: req ids come from them."""
+
+    __slots__ = ("allowed", "by", "first", "maybe", "state", "tries", "undo_tries")
+
+    def __init__(self, allowed: int) -> None:
+        self.state = "new"
+        self.tries = self.undo_tries = 0
+        self.allowed = allowed       # tries until it is stuck
+        self.maybe = 0               # 1 once the fate of any try was unknown
+        self.by = self.first = 0     # the session that intended last; when it was intended first
+
+
+class Flow:
+    """A workflow. `since`: when its owner came by it; `ended`: when it was finished, 0 before."""
+
+    __slots__ = ("definition", "ended", "left", "mark", "number", "owner", "since", "state", "steps", "tenant",
+                 "values")
+
+    def __init__(self, number: int, tenant: str, mark: str, definition: Definition, owner: int) -> None:
+        self.number, self.tenant, self.mark, self.owner = number, tenant, mark, owner
+        self.definition = definition
+        self.values: tuple[tuple[str, str], ...] = ()
+        self.state, self.left = "forward", ""
+        self.since = self.ended = 0
+        self.steps = [Try(definition.tries) for _ in definition.steps]
+
+
+class Flows:
+    """All workflows. What can be counted from `all` is kept beside it, and counted anew when read."""
+
+    __slots__ = ("all", "behind", "by_tenant", "ended", "last", "limits", "marks", "open")
+
+    def __init__(self) -> None:
+        self.last, self.limits = 0, LIMITS
+        self.all: dict[int, Flow] = {}
+        self.marks: dict[tuple[str, str], int] = {}
+        self.open: dict[int, Flow] = {}
+        self.ended: dict[int, Flow] = {}             # in the order in which they ended
+        self.by_tenant: dict[str, int] = {}          # open ones
+        self.behind = 0
+
+
 class State:
-    __slots__ = ("budgets", "index", "last", "leaving", "live", "names", "next_free", "past", "scopes",
+    __slots__ = ("budgets", "flows", "index", "last", "leaving", "live", "names", "next_free", "past", "scopes",
                  "shares", "time")
 
     def __init__(self) -> None:
+        self.flows = Flows()
         self.index = self.time = self.last = 0       # last: the session opened last
         self.live: dict[int, Session] = {}
         self.names: dict[str, int] = {}              # of the live ones
--- a/laurelcourse/fleet/errors.py
+++ b/laurelcourse/fleet/errors.py
@@ -235,6 +235,12 @@
     do = "undo it by hand at its unit, then tell the books; the steps before it wait until then"
 
 
+class NoSuchWorkflowError(FleetError):
+    code = "no_such_workflow"
+    what = "no workflow has this number; finished ones are forgotten after a while"
+    do = "look at the mark it was begun with; ask sooner, or raise the time they are kept"
+
+
 class CapacityTakenError(FleetError):
     code, again = "capacity_taken", True
     what = "{resource} has {free} left where {asked} was asked"
