--- a/laurelcourse/fleet/workflows/definition.py
+++ b/laurelcourse/fleet/workflows/definition.py
@@ -87,8 +87,8 @@
     needed = sum(step.send.timeout + (step.undo.timeout if step.undo and at < point else 0)
                  for at, step in enumerate(found.steps))
     if needed > found.timeout:
-        yield Flaw(-1, False, f"steps and their undos take up to {needed} us, its timeout is "
-                   f"{found.timeout}: raise it, or lower theirs")
+        yield Flaw(-1, False, f"steps and their undos take up to {_ms(needed)}, its timeout is "
+                   f"{_ms(found.timeout)}: raise it, or lower theirs")
 
 
 def _step(found: Definition, at: int, point: int, routes: Mapping[str, Rule] | None) -> Iterator[Flaw]:
@@ -116,9 +116,9 @@
             yield Flaw(at, True, f"the undo of step {step.name} goes by route {step.undo.route}, which may "
                        "not be repeated: take one that may")
         elif rule and not step.harmless and not _lasting(rule, found, step.undo):
-            yield Flaw(at, True, f"the undo of step {step.name} may run later than the {rule.memory} us for "
-                       f"which repeats are known on route {step.undo.route}: say harmless=\"true\" if that "
-                       "does none, or lower tries and back-off")
+            yield Flaw(at, True, f"the undo of step {step.name} may run later than the {_ms(rule.memory)} for "
+                       f"which repeats are known on route {step.undo.route}: say "
+                       "harmless=\"true\" if that does none, or lower tries and back-off")
 
 
 def _lasting(rule: Rule, found: Definition, send: Send) -> bool:
@@ -134,8 +134,8 @@
         yield Flaw(at, undo, f"no route {send.route}: the platform has "
                    f"{', '.join(sorted(routes)) or 'none'}")
     elif send.timeout > rule.timeout:
-        yield Flaw(at, undo, f"a timeout of {send.timeout} us, route {send.route} has {rule.timeout}: it "
-                   "can't be longer")
+        yield Flaw(at, undo, f"a timeout of {_ms(send.timeout)}, route {send.route} has "
+                   f"{_ms(rule.timeout)}: it can't be longer")
     if send.timeout <= 0:
         yield Flaw(at, undo, "a timeout of 0")
     return rule
@@ -166,6 +166,10 @@
             and _whole(send.timeout, send.memory) and send.repeat in (RETRIABLE, DEDUPED, NON_RETRIABLE))
 
 
+def _ms(time: int) -> str:
+    return f"{time // 1000}ms"
+
+
 def _whole(*values: object) -> bool:
     return all(type(one) is int and 0 <= one <= LONGEST for one in values)
 
--- a/laurelcourse/operator/form.py
+++ b/laurelcourse/operator/form.py
@@ -131,6 +131,44 @@
     when_used_up: str            # other: another unit; wait; shed
 
 
+class Undo(NamedTuple):
+    line: int
+    route: str
+    statement: str               # a template, as in `fleet.workflows.definition`
+    timeout: int
+    harmless: bool               # however late it runs, and however often
+
+
+class Step(NamedTuple):
+    line: int
+    name: str
+    route: str
+    statement: str
+    timeout: int
+    effect: bool
+    no_return: bool              # once it may have run there is only forward
+    fails: str                   # may, never, harmless
+    undo: Undo | None
+
+
+class Workflow(NamedTuple):
+    line: int
+    name: str
+    timeout: int
+    tries: int                   # of an undo, until it is stuck
+    back_off: int
+    longest_back_off: int
+    steps: tuple[Step, ...]
+
+
+class WorkflowLimits(NamedTuple):
+    line: int
+    in_flight: int
+    by_tenant: int
+    behind: int                  # undoing or stuck: with so many none begins
+    keeps: int                   # a finished one can be asked for so long
+
+
 class Fleet(NamedTuple):
     line: int
     name: str
@@ -145,6 +183,8 @@
     keepers: tuple[Keeper, ...]
     bounds: KeeperBounds
     budgets: tuple[Budget, ...]
+    workflows: tuple[Workflow, ...] = ()
+    workflow_limits: WorkflowLimits | None = None
 
 
 class Operator(NamedTuple):
--- a/laurelcourse/operator/reading.py
+++ b/laurelcourse/operator/reading.py
@@ -123,14 +123,17 @@
                   snapshot_every=int)
     bounds = bounds._replace(heartbeat=beat // HEARTBEATS if bounds.heartbeat is None else bounds.heartbeat,
                              patience=beat // PATIENCE if bounds.patience is None else bounds.patience)
-    listen = node.get("listen")
+    listen, limits = node.get("listen"), node.find(SPACE + "workflow-limits")
     return form.Fleet(
         line=node.sourceline, name=node.get("name"), listen=_address(listen) if listen else None,
         folder=node.get("folder"), lease=_time(node.get("lease")), beat=beat, drift=int(node.get("drift")),
         sessions=int(node.get("sessions")), alone=_truth(node.get("alone")),
         spread=_truth(node.get("spread")),
         keepers=tuple(_one(form.Keeper, one, address=_address) for one in node.findall(SPACE + "keeper")),
-        bounds=bounds, budgets=tuple(_budget(one) for one in node.findall(SPACE + "budget")))
+        bounds=bounds, budgets=tuple(_budget(one) for one in node.findall(SPACE + "budget")),
+        workflows=tuple(_workflow(one) for one in node.findall(SPACE + "workflow")),
+        workflow_limits=None if limits is None else _one(
+            form.WorkflowLimits, limits, in_flight=int, by_tenant=int, behind=int, keeps=_time))
 
 
 def _budget(node: Any) -> form.Budget:  # noqa: ANN401
@@ -138,6 +141,17 @@
     return found._replace(window=found.window or 0, freed_after=found.freed_after or 0)
 
 
+def _workflow(node: Any) -> form.Workflow:  # noqa: ANN401
+    found = _one(form.Workflow, node, timeout=_time, tries=int, back_off=_time, longest_back_off=_time)
+    return found._replace(steps=tuple(_step(one) for one in node))
+
+
+def _step(node: Any) -> form.Step:  # noqa: ANN401
+    undo = node.find(SPACE + "undo")
+    return _one(form.Step, node, timeout=_time, effect=_truth, no_return=_truth)._replace(
+        undo=None if undo is None else _one(form.Undo, undo, timeout=_time, harmless=_truth))
+
+
 def _tuf(node: Any, described: Any) -> form.Tuf:  # noqa: ANN401
     def part(name: str) -> Any:  # noqa: ANN401
         return node.find(SPACE + name)
--- a/tests/test_fleet_workflows.py
+++ b/tests/test_fleet_workflows.py
@@ -143,7 +143,8 @@
     assert it.say("do a 1 1 unknown") == "forward" and it.books.workflow(1).steps[1].state == w.SPENT
 
 
-@pytest.mark.parametrize("template, out", [("A {a}", "A {b}"), ("{b}{c}", "2{c}"), ("{a", "{a"), ("a}", "a}")])
+@pytest.mark.parametrize("template, out", [
+    ("A {a}", "A {b}"), ("{b}{c}", "2{c}"), ("{a", "{a"), ("a}", "a}")])
 def test_values_are_filled_in_once(template: str, out: str) -> None:
     assert r.filled(template, (("a", "{b}"), ("b", "2"))) == out
 
