--- a/laurelcourse/fleet/workflows/definition.py
+++ b/laurelcourse/fleet/workflows/definition.py
@@ -116,8 +116,8 @@
             yield Flaw(at, True, f"the undo of step {step.name} goes by route {step.undo.route}, which may "
                        "not be repeated: take one that may")
         elif rule and not step.harmless and not _lasting(rule, found, step.undo):
-            yield Flaw(at, True, f"the undo of step {step.name} may run later than the {_ms(rule.memory)} for "
-                       f"which repeats are known on route {step.undo.route}: say "
+            yield Flaw(at, True, f"the undo of step {step.name} may run later than the {_ms(rule.memory)} "
+                       f"for which repeats are known on route {step.undo.route}: say "
                        "harmless=\"true\" if that does none, or lower tries and back-off")
 
 
