--- a/laurelcourse/fleet/workflows/takeover.py
+++ b/laurelcourse/fleet/workflows/takeover.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Iterable
+from itertools import islice
 from typing import NamedTuple
 
 from laurelcourse.chance import hashed
@@ -17,6 +18,7 @@
     every: int                   # microseconds
     held: int                    # workflows in flight that a relay may own and still ask
     patience: int                # after which the next in an orphan's order asks too
+    looked: int = 512            # orphans whose order is worked out in one call: each takes all live sessions
 
 
 def weight(workflow: int, session: int) -> int:
@@ -34,12 +36,14 @@
 
 
 class Takeover:
-    __slots__ = ("_asked", "_begun", "_pace", "_seen")
+    __slots__ = ("_asked", "_begun", "_live", "_pace", "_ranks", "_seen")
 
     def __init__(self, pace: Pace) -> None:
         self._pace = pace
         self._seen: dict[tuple[int, int], int] = {}      # when an orphan was first seen here
         self._begun, self._asked = 0, 0
+        self._live: tuple[int, ...] = ()
+        self._ranks: dict[int, int] = {}                 # of me, for each orphan, among these live ones
 
     def due(self) -> int:
         return self._begun + self._pace.every
@@ -51,13 +55,21 @@
         if now >= self._begun + self._pace.every:
             self._begun, self._asked = now, 0
         self._seen = {one: self._seen.get(one, now) for one in orphans}
+        self._rank(orphans, live, me)
         room = min(self._pace.most - self._asked, self._pace.held - held)
         wanted = []
         for one, former in orphans:
-            if len(wanted) >= room:
+            if len(wanted) >= room or one not in self._ranks:
                 break
             waited = (now - self._seen[one, former]) // self._pace.patience
-            if rank(one, live, me) <= waited:
+            if self._ranks[one] <= waited:
                 wanted.append(Adopt(one, former))
         self._asked += len(wanted)
         return tuple(wanted)
+
+    def _rank(self, orphans: tuple[tuple[int, int], ...], live: tuple[int, ...], me: int) -> None:
+        if self._live != (me, *live):
+            self._live, self._ranks = (me, *live), {}
+        known = {one: self._ranks[one] for one, _ in orphans if one in self._ranks}
+        new = (one for one, _ in orphans if one not in known)
+        self._ranks = known | {one: rank(one, live, me) for one in islice(new, self._pace.looked)}
--- a/tests/test_fleet_workflow_settings.py
+++ b/tests/test_fleet_workflow_settings.py
@@ -27,8 +27,8 @@
 EXAMPLE = (ROOT / "deploy" / "fleet.xml").read_text()
 EXAMPLE = re.sub("<workflow.*</workflow>", "", EXAMPLE, flags=re.DOTALL).replace("</fleet>", WORKFLOW)
 # Three tries of a second with waits of 100 and 150 ms lie in 3250 ms.
-KINDS = {"hold": (NON_RETRIABLE, 0), "free": (RETRIABLE, 0), "look": (RETRIABLE, 0), "keyed": (DEDUPED, 3_250_000),
-         "short": (DEDUPED, 3_249_999), "notice": (NON_RETRIABLE, 0)}
+KINDS = {"hold": (NON_RETRIABLE, 0), "free": (RETRIABLE, 0), "look": (RETRIABLE, 0),
+         "keyed": (DEDUPED, 3_250_000), "short": (DEDUPED, 3_249_999), "notice": (NON_RETRIABLE, 0)}
 ROUTES = [Route(name, 1, 2_000_000, 1.0, 0.0, repeat, "any", memory)
           for name, (repeat, memory) in KINDS.items()]
 
--- a/tests/test_fleet_workflows.py
+++ b/tests/test_fleet_workflows.py
@@ -29,7 +29,9 @@
 LOOK = d.Step("look", d.Send("look", "LOOK", 100 * MS), None, effect=False)
 BOOKING = d.Definition("booking", 5_000 * MS, 3, 10 * MS, 100 * MS, (
     hold("room"), hold("device"), hold("one"), hold("two"), NOTICE._replace(no_return=True)))
-KINDS = BOOKING, BOOKING._replace(steps=(hold("room"), LOOK, hold("one"), COMMIT, NOTICE))
+# For the explorer: a req may outlast several leases.
+KINDS = [BOOKING._replace(steps=tuple(one._replace(send=one.send._replace(timeout=300 * MS)) for one in steps))
+         for steps in (BOOKING.steps, (hold("room"), LOOK, hold("one"), COMMIT, NOTICE))]
 SHORT = BOOKING._replace(steps=(hold("room"), COMMIT, NOTICE))
 KEYED = SHORT._replace(steps=(hold("room"), COMMIT._replace(
     send=COMMIT.send._replace(repeat=DEDUPED, memory=500 * MS)), NOTICE))
@@ -151,7 +153,7 @@
 
 # An explorer: three relays, one workflow, units that count what is done to them
 
-LEASE, TICK = 40 * MS, 10 * MS       # a req may outlast a lease
+LEASE, TICK = 40 * MS, 10 * MS
 CHECKS = ("out_of_order", "effects_left_behind", "undone_though_done", "notices_twice", "two_owners_acted",
           "undo_of_never_ran", "one_outcome_each")
 
@@ -183,6 +185,7 @@
         self.bound: dict[int, int] = {}
         self.batches: list[f.Batch] = []
         self.reqs: list[Req] = []
+        self.late: list[tuple[int, Callable[[], None]]] = []
         self.sessions: list[int] = []        # in the order of what they sent
         self.there: set[int] = set()         # steps whose effect is there
         self.notices = self.undos = 0
@@ -200,11 +203,12 @@
     def chance(self, share: int = 0) -> bool:
         return self.now < self.calm and self.c.below(100) < (share or self.bad)
 
-    def do(self, relay: Relay | None, what: f.What, mark: int = 0) -> f.Done:
+    def do(self, relay: Relay | None, what: f.What, mark: int = 0, fence: f.Fence | None = None) -> f.Done:
         if relay and not mark:
             relay.marks += 1
             mark = relay.marks
-        fence = relay.fence if relay and type(what) is not f.Open else None
+        if relay and type(what) is not f.Open:
+            fence = fence or relay.fence
         batch = f.Batch(self.now, 1, (f.Command(fence, mark, what),))
         self.batches.append(batch)
         done = self.books.apply(self.books.index + 1, batch)[0]
@@ -240,6 +244,10 @@
                 del self.bound[session]
                 self.do(None, f.Lapse(session))
         self.arrive()
+        due = [call for at, call in self.late if at <= self.now]
+        self.late = [one for one in self.late if one[0] > self.now]
+        for call in due:
+            call()
         for relay in self.relays:
             if self.now >= relay.wakes:
                 self.relay(relay)
@@ -283,13 +291,22 @@
     def carry(self, relay: Relay, run: r.Run, effects: tuple[r.Effect, ...], me: int) -> None:
         for effect in effects:
             if type(effect) is r.Write:
-                done = self.do(relay, effect.what)
-                # What it knows when it wakes is what the answer said, however old.
-                view = self.books.workflow(self.number)
-                relay.events.append(partial(self.written, relay, run, done, view, me))
+                relay.marks += 1
+                write = partial(self.write, relay, run, effect.what, relay.marks, relay.fence)
+                if self.chance(self.bad // 2 + 1):
+                    self.late.append((self.now + self.c.below(8 * LEASE), write))
+                else:
+                    write()
             else:
                 self.send(relay, run, effect, run.sending(), me)
 
+    def write(self, relay: Relay, run: r.Run, what: f.What, mark: int, fence: f.Fence) -> None:
+        """The answer waits for the relay; what it knows when it wakes is what that said, however old."""
+        done = self.do(relay, what, mark, fence)
+        if relay.runs.get(self.number) is run:
+            view = self.books.workflow(self.number)
+            relay.events.append(partial(self.written, relay, run, done, view, fence.session))
+
     def written(self, relay: Relay, run: r.Run, done: f.Done, view: w.View, me: int) -> None:
         self.carry(relay, run, run.wrote(self.now, done, view, me, self.usable(relay)), me)
 
@@ -307,7 +324,8 @@
         elif self.chance() and (what.undo or step.fails != d.NEVER):
             fate, runs = f.FAILED, False
         lost = self.chance()
-        at = self.now + self.c.below(send.until - self.now + 1)
+        longest = send.until if self.chance() else min(send.until, self.now + 60 * MS)
+        at = self.now + self.c.below(longest - self.now + 1)
         runs = runs and not (lost and self.c.below(2))
         self.reqs.append(Req(at, send, what, relay, run, fate, runs, not lost))
 
@@ -449,6 +467,58 @@
     assert not herd and min(held.values()) > 30 and max(held.values()) <= PACE.held, held
 
 
+def test_a_run_turns_back_in_time_and_waits_longer_each_time() -> None:
+    it = Script("booking")
+    view = it.books.workflow(1)
+
+    def first(left_at: int, now: int = 0, may: bool = True) -> tuple[r.Effect, ...]:
+        return r.Run(1, Chance(3), left_at).step(now, view, 1, True, lambda: may)
+
+    # A step and its undo take 200 ms.
+    assert first(200 * MS) == (r.Write(f.Intend(1, 0, False, 1)),)
+    assert first(200 * MS - 1) == (r.Write(f.Leave(1, f.LATE)),)
+    gone = r.Run(1, Chance(3))
+    gone.client_left()
+    assert gone.step(0, view, 1, True, bool) == (r.Write(f.Leave(1, f.LEFT)),)
+    for order in ("do a 0 1", "do a 0 1 unknown"):
+        it.say(order)
+    waits, chance = [], Chance(5)
+    for tried in range(3):
+        view, run = it.books.workflow(1), r.Run(1, chance)
+        assert run.step(0, view, 1, True, lambda: False) == () and run.state == r.WAITING
+        assert run.step(run.due() - 1, view, 1, True, lambda: True) == ()
+        waits.append(run.due())
+        assert run.step(run.due(), view, 1, True, lambda: True) == (r.Write(f.Intend(1, 0, True, tried + 1)),)
+        it.say(f"undo a 0 {tried + 1}"), it.say(f"undo a 0 {tried + 1} failed")
+    assert all(5 * MS << at <= wait <= 10 * MS << at for at, wait in enumerate(waits)), waits
+    # Stuck: it waits for an operator's word, and the client is told in time, once.
+    view, run, client = it.books.workflow(1), r.Run(1, chance), r.Waiting(1, 50)
+    assert run.step(0, view, 1, True, lambda: True) == () and run.due() == BOOKING.longest
+    assert client.look(49, view) is None
+    told = client.look(50, view)
+    assert told[:3] == (1, r.ERRORED, w.STUCK) and told.fates[0] == ("room", w.UNDO_DUE)
+    assert client.look(51, view) is None and r.Waiting(1, 5).look(5, None).state == "unknown"
+
+
+NOT_FIT = [f.Limits(0, 1, 1, 1), f.Limits(1 << 17, 1, 1, 1), f.Begin("", "m", SHORT), f.Begin("t", "", SHORT),
+           f.Begin("t", "m", None), f.Begin("t", "m", SHORT, (("a",),)),
+           f.Begin("t", "m", SHORT, (("a", "\n"),)),
+           f.Begin("t", "m", SHORT._replace(timeout=1.5)), f.Begin("t", "m", SHORT._replace(steps=[COMMIT])),
+           f.Begin("t", "m", SHORT._replace(steps=(COMMIT._replace(send=None),))),
+           f.Intend([], 0, False, 1), f.Intend(1, True, False, 1), f.Intend(1, 0, 0, 1),
+           f.Intend(1, -1, False, 1), f.Intend(1, 0, False, 0),
+           f.Result(1, 0, False, 1, []), f.Leave(1, None), f.Leave("1", f.LEFT), f.Settle(1, 0, 5),
+           f.Adopt(1, None), f.Adopt(None, 1)]
+
+
+@pytest.mark.parametrize("what", NOT_FIT)
+def test_what_does_not_fit_is_refused_and_changes_nothing(what: f.What) -> None:
+    it = Script()
+    before = it.books.plain()[9]
+    assert it.do(None if type(what) is f.Limits else "a", what).code == "unreadable"
+    assert it.books.plain()[9] == before
+
+
 def test_who_does_not_come_is_stood_in_for() -> None:
     live, orphans = (11, 12, 13), ((7, 3),)
     order = sorted(live, key=lambda one: rank(7, live, one))
