A deduplicated step out of its repeats' memory is stuck, not passed over

Behind the point of no return it went on with its fate unknown, though the settings say it must be done. Now an operator is asked, unless its loss is stated harmless.

--- a/laurelcourse/fleet/books/workflows.py
+++ b/laurelcourse/fleet/books/workflows.py
@@ -3,7 +3,8 @@
 Sagas (Garcia-Molina, Salem 1987). An intent stands here before its req is sent, the result before the next
 intent. Undos go in reverse order of completion, one at a time; a step known never to have run has none; one
 of unknown fate is undone as if it had run. Behind the point of no return a step that may not be repeated and
-whose fate is unknown is SPENT: the workflow goes on to its end, and states it. Times are microseconds by the
+whose fate is unknown is SPENT: the workflow goes on to its end, and states it; a deduplicated one that is out
+of its memory is stuck unless its loss is harmless. Times are microseconds by the
 books' account. A refusal changes nothing.
 """
 
@@ -152,7 +153,7 @@
 
 def _step_to(flow: Flow, at: int, to: str) -> None:
     one = flow.steps[at]
-    if to not in STEP_MOVES[one.state]:
+    if to != one.state and to not in STEP_MOVES[one.state]:
         raise OutOfOrderError(_named(flow), state=one.state, order=to)
     one.state = to
 
@@ -310,7 +311,12 @@
         if to != NEVER_RAN or once:
             _move(state, flow, UNDOING)
     elif to == MAYBE and not repeatable(flow, at, state.time):
-        _step_to(flow, at, SPENT)
+        if harmless or once:
+            _step_to(flow, at, SPENT)
+        else:
+            # Out of its repeats' memory, and it must be done: an operator looks whether it is.
+            _step_to(flow, at, MAYBE)
+            _move(state, flow, STUCK)
     elif harmless and (to == FAILED or (to == NEVER_RAN and once)):
         _step_to(flow, at, LOST)
     else:
--- a/tests/test_fleet_workflows.py
+++ b/tests/test_fleet_workflows.py
@@ -30,8 +30,9 @@
 BOOKING = d.Definition("booking", 5_000 * MS, 3, 10 * MS, 100 * MS, (
     hold("room"), hold("device"), hold("one"), hold("two"), NOTICE._replace(no_return=True)))
 # For the explorer: a req may outlast several leases.
-KINDS = [BOOKING._replace(steps=tuple(one._replace(send=one.send._replace(timeout=300 * MS)) for one in steps))
-         for steps in (BOOKING.steps, (hold("room"), LOOK, hold("one"), COMMIT, NOTICE))]
+KINDS = [BOOKING._replace(steps=tuple(
+    one._replace(send=one.send._replace(timeout=300 * MS)) for one in steps))
+    for steps in (BOOKING.steps, (hold("room"), LOOK, hold("one"), COMMIT, NOTICE))]
 SHORT = BOOKING._replace(steps=(hold("room"), COMMIT, NOTICE))
 KEYED = SHORT._replace(steps=(hold("room"), COMMIT._replace(
     send=COMMIT.send._replace(repeat=DEDUPED, memory=500 * MS)), NOTICE))
@@ -142,7 +143,10 @@
         it.say(order)
     it.at = 400 * MS + 21
     assert it.say("do a 1 2") == "out_of_order"
-    assert it.say("do a 1 1 unknown") == "forward" and it.books.workflow(1).steps[1].state == w.SPENT
+    assert it.say("do a 1 1 unknown") == "stuck" and it.books.workflow(1).steps[1].state == w.MAYBE
+    assert it.say("settle a 1 again") == "forward" and it.say("do a 1 2") == "out_of_order"
+    assert it.say("do a 1 1 unknown") == "stuck" and it.say("settle a 1 by_hand") == "forward"
+    assert it.say("do a 2 1")
 
 
 @pytest.mark.parametrize("template, out", [
