--- a/laurelcourse/fleet/calls/codec.py
+++ b/laurelcourse/fleet/calls/codec.py
@@ -25,6 +25,7 @@
     UnreadableError,
 )
 from laurelcourse.fleet.keeper import forms as keeper
+from laurelcourse.fleet.workflows import definition
 
 LEAST, VERSION, MINOR = 1, 1, 0
 MOST = (1 << 63) - 1   # of a number
@@ -37,9 +38,12 @@
         "piece": keeper.Piece, "piece_taken": keeper.PieceTaken, "take_over": keeper.TakeOver,
         "hello": keeper.Hello, "known": keeper.Known}
 WHAT = {"open": books.Open, "close": books.Close, "lapse": books.Lapse, "define": books.Define,
-        "grant": books.Grant, "give_back": books.GiveBack}
+        "grant": books.Grant, "give_back": books.GiveBack, "limits": books.Limits, "begin": books.Begin,
+        "intend": books.Intend, "result": books.Result, "leave": books.Leave, "settle": books.Settle,
+        "adopt": books.Adopt}
 FORMS = (keeper.Entry, keeper.Snapshot, keeper.Mark, *TALK.values(), books.Fence, *WHAT.values(),
-         books.Budget, books.Command, books.Batch, books.Done, orders.Submit, orders.Beat, orders.Share,
+         definition.Send, definition.Step, definition.Definition, books.Budget, books.Command, books.Batch,
+         books.Done, orders.Submit, orders.Beat, orders.Share,
          orders.Renewed, orders.Question)
 
 Two = tuple[Callable, Callable]  # a form's value to the message's, and back
