The lead tells the books its limits on workflows, and relays what workflows stand where

Limits go through the log on taking the lead, as Define does; an Adopt without a fence is refused from outside.

--- a/laurelcourse/fleet/books/apply.py
+++ b/laurelcourse/fleet/books/apply.py
@@ -201,6 +201,10 @@
         return tuple((one, flows[one].owner) for one in sorted(flows)
                      if flows[one].owner not in self._state.live)
 
+    def limits(self) -> Limits:
+        """On workflows, as the last Limits had them."""
+        return self._state.flows.limits
+
     def behind(self) -> int:
         """How many are undoing or stuck."""
         return self._state.flows.behind
--- a/laurelcourse/fleet/keeper/desk.py
+++ b/laurelcourse/fleet/keeper/desk.py
@@ -10,7 +10,18 @@
 
 from laurelcourse.chance import Chance
 from laurelcourse.fleet.books.apply import Books
-from laurelcourse.fleet.books.forms import Batch, Close, Command, Define, Done, Grant, Lapse, Open
+from laurelcourse.fleet.books.forms import (
+    Adopt,
+    Batch,
+    Close,
+    Command,
+    Define,
+    Done,
+    Grant,
+    Lapse,
+    Limits,
+    Open,
+)
 from laurelcourse.fleet.errors import FleetError
 from laurelcourse.fleet.keeper.clock import Account
 from laurelcourse.fleet.keeper.core import Core
@@ -19,8 +30,9 @@
 from laurelcourse.fleet.keeper.together import Together, merged
 from laurelcourse.fleet.members import Members
 from laurelcourse.fleet.orders import Acts, Beat, Note, Question, Renewed, Share, Submit, Terms
+from laurelcourse.fleet.workflows import views
 
-OWN = (Lapse, Define, Grant)   # the leader's alone
+OWN = (Lapse, Define, Grant, Limits)   # the leader's alone
 COMING = (Open, Close, Lapse)  # by which sessions come and go
 FLUSHES = 8                    # in a beat, at most, while entries of commands are under way
 
@@ -52,7 +64,7 @@
 class Lead:
     """What this keeper knows as a leader, from its own NOOP's application on."""
 
-    __slots__ = ("account", "beat_at", "define", "dividing", "granting", "lapse_after", "members")
+    __slots__ = ("account", "beat_at", "define", "dividing", "granting", "lapse_after", "limit", "members")
 
     def __init__(self, now: int, terms: Terms, books: Books) -> None:
         self.members = Members(terms, now, [live.number for live in books.sessions()])
@@ -61,6 +73,7 @@
         self.beat_at = self.lapse_after = now
         self.granting = 0                       # Grants under way: the books are about to change
         self.define = books.defined() != terms.budgets
+        self.limit = terms.limits is not None and books.limits() != terms.limits
 
 
 class Desk:
@@ -165,7 +178,8 @@
 
     def _unfit(self, order: Order) -> Done | None:
         for command in order.commands:
-            if isinstance(command.what, OWN):
+            by_leader = isinstance(command.what, Adopt) and command.fence is None
+            if isinstance(command.what, OWN) or by_leader:
                 told = (("order", type(command.what).__name__.lower()), ("state", "asked by a relay"))
                 return Done(code="out_of_order", to=self.name, told=told)
             if command.fence is not None:
@@ -213,7 +227,7 @@
             self.flush_at = now + self.terms.beat // FLUSHES
         self.queue.append(order)
 
-    def _own(self, now: int, what: Lapse | Define | Grant) -> None:
+    def _own(self, now: int, what: Lapse | Define | Grant | Limits) -> None:
         self._line_up(now, self._order(None, (Command(None, 0, what),)))
 
     def _token(self) -> int:
@@ -287,6 +301,9 @@
         if lead.define:
             lead.define = False
             self._own(now, Define(self.terms.budgets))
+        if lead.limit:
+            lead.limit = False
+            self._own(now, self.terms.limits)
         if not lead.granting:
             for grant in lead.dividing.grants(now, self.books, lead.members):
                 lead.granting += 1
@@ -376,7 +393,7 @@
             self.lead.members.follow(now, [live.number for live in self.books.sessions()])
         return dones
 
-    def _own_done(self, now: int, what: Lapse | Define | Grant, done: Done) -> None:
+    def _own_done(self, now: int, what: Lapse | Define | Grant | Limits, done: Done) -> None:
         if isinstance(what, Grant) and self.lead is not None:
             self.lead.granting -= 1
             if done.code:
@@ -402,13 +419,15 @@
             elif self.lead is not None:
                 self._own_refused(now, order.commands[0].what)
 
-    def _own_refused(self, now: int, what: Lapse | Define | Grant) -> None:
+    def _own_refused(self, now: int, what: Lapse | Define | Grant | Limits) -> None:
         match what:
             case Lapse():
                 self.lead.members.spare(what.session)
                 self.lead.lapse_after = now + self.terms.beat
             case Define():
                 self.lead.define = True
+            case Limits():
+                self.lead.limit = True
             case Grant():
                 self.lead.granting -= 1
 
@@ -462,9 +481,24 @@
             case "keepers":
                 keepers = self.core.keepers
                 return Done((self.name, self.core.term, ",".join(keepers.voters), ",".join(keepers.learners)))
+            case "flow":
+                return self._flows_told(question.of)
+            case "flows":
+                return self._flows_of(question.of)
             case "hash":
                 return Done((self.books.index, self.books.hash()))
         return Done(code="unknown_command", to=self.name, told=(("kind", question.what),))
 
+    def _flows_told(self, numbers: str) -> Done:
+        """As `workflows/views.py` has it, in the order asked."""
+        found = [int(one) for one in numbers.split(",") if one.isascii() and one.isdigit()]
+        return Done(tuple(views.told(self.books.workflow(one)) for one in found[:views.AT_ONCE]))
+
+    def _flows_of(self, session: str) -> Done:
+        mine = int(session) if session.isascii() and session.isdigit() else 0
+        orphans = self.books.orphans()[:views.NUMBERS]
+        live = tuple(one.number for one in self.books.sessions()) if orphans else ()
+        return Done((self.books.workflows_of(mine)[:views.NUMBERS], orphans, live))
+
     def _note(self, level: str, msg: str, **fields: str | int) -> None:
         self.doing.notes.append(Note(level, msg, tuple(fields.items())))
--- a/laurelcourse/fleet/orders.py
+++ b/laurelcourse/fleet/orders.py
@@ -5,7 +5,7 @@
 
 from typing import NamedTuple
 
-from laurelcourse.fleet.books.forms import Budget, Command, Done, Fence
+from laurelcourse.fleet.books.forms import Budget, Command, Done, Fence, Limits
 from laurelcourse.fleet.keeper.forms import Bounds, Keepers, Message, Write
 
 
@@ -21,6 +21,7 @@
     keepers: Keepers             # as the settings have them, for a log that has none yet
     budgets: tuple[Budget, ...]
     snapshot_every: int          # entries after which the books are written out and the log is cut
+    limits: Limits | None = None  # on workflows; None: as the books have them
 
     def holds(self) -> int:
         """How long the holder may count on a lease, from when it asked, by its own clock."""
@@ -58,7 +59,8 @@
 
 class Question(NamedTuple):
     """A look at the books that is as new as any answer given before it: 'session' with a name, 'budget' with
-    a name or name/key, 'keepers', 'hash'."""
+    a name or name/key, 'keepers', 'hash', 'flow' with numbers of workflows ('3,7'), 'flows' with a session's
+    number: its own, the orphans, and, if there are orphans, who lives."""
 
     what: str
     of: str = ""
--- a/laurelcourse/fleet/terms.py
+++ b/laurelcourse/fleet/terms.py
@@ -3,6 +3,7 @@
 from laurelcourse.fleet.books.forms import Budget
 from laurelcourse.fleet.keeper.forms import Bounds, Keepers
 from laurelcourse.fleet.orders import Terms
+from laurelcourse.operator import meaning_workflows
 from laurelcourse.operator.form import Address, Fleet
 
 
@@ -22,7 +23,7 @@
         keepers=Keepers(tuple(sorted(one.name for one in fleet.keepers))),
         budgets=tuple(Budget(one.name, one.kind, one.whole, one.floor, one.relays, longer(one.window),
                              longer(one.freed_after)) for one in budgets),
-        snapshot_every=told.snapshot_every)
+        snapshot_every=told.snapshot_every, limits=meaning_workflows.limits(fleet))
 
 
 def address_of(fleet: Fleet, relay: str) -> Address | None:
--- a/laurelcourse/operator/form.py
+++ b/laurelcourse/operator/form.py
@@ -185,6 +185,7 @@
     budgets: tuple[Budget, ...]
     workflows: tuple[Workflow, ...] = ()
     workflow_limits: WorkflowLimits | None = None
+    flows_port: int = 0          # where each relay hears clients of workflows, beside its own; 0: it does not
 
 
 class Operator(NamedTuple):
--- a/laurelcourse/operator/reading.py
+++ b/laurelcourse/operator/reading.py
@@ -133,7 +133,8 @@
         bounds=bounds, budgets=tuple(_budget(one) for one in node.findall(SPACE + "budget")),
         workflows=tuple(_workflow(one) for one in node.findall(SPACE + "workflow")),
         workflow_limits=None if limits is None else _one(
-            form.WorkflowLimits, limits, in_flight=int, by_tenant=int, behind=int, keeps=_time))
+            form.WorkflowLimits, limits, in_flight=int, by_tenant=int, behind=int, keeps=_time),
+        flows_port=int(node.get("flows-port") or 0))
 
 
 def _budget(node: Any) -> form.Budget:  # noqa: ANN401
