Workflows are carried out on real relays, and clients begin them by gRPC at any of them

The pure half had nobody to carry it out. A task of each relay runs its own workflows and asks for orphans; steps are reqs of the main front, with a look at the lease at each try; a service at flows-port answers Start, Look, Leave and Settle, flows_client.py calls it.

--- a/laurelcourse/cli.py
+++ b/laurelcourse/cli.py
@@ -42,6 +42,18 @@
         sys.exit(2)
 
 
+def against(operator: "Operator | None", config: configuration.Config | None) -> None:
+    """Ends with what is wrong once the fleet's workflows are held against the platform's routes."""
+    if operator is None or operator.fleet is None or config is None:
+        return
+    from laurelcourse.operator import meaning_workflows
+    faults = list(meaning_workflows.against(operator.fleet, config.settings.routes))
+    for one in faults:
+        click.echo(f"{operator.path}:{one.line}: {one.words}", err=True)
+    if faults:
+        sys.exit(2)
+
+
 def more(operator: "Operator | None", host: Host) -> list[Assembly]:
     """What the operators' settings name beside the platform's own front: further fronts, a fleet's books. The
     plain relay has none of the libraries that these need."""
@@ -69,6 +81,7 @@
     """Serve clients until SIGTERM or SIGINT; SIGHUP reads the file again, SIGUSR1 prints the counters."""
     read_config = read(path)
     settings = read_operator(operator)
+    against(settings, read_config)
     log.start(log_level)
     try:
         Relay(read_config, lambda: configuration.read(path), lambda host: more(settings, host)).run()
@@ -87,13 +100,16 @@
     """Read a configuration, operators' settings or both, and say what is wrong, without serving."""
     if path is None and operator is None:
         raise click.UsageError("name a file: --config, --operator or both")
+    found = None
     if path is not None:
         found = read(path)
         click.echo(f"{path}: good: relay {found.name}, {len(found.settings.routes)} routes, "
                    f"{len(found.known.entries)} units known")
     if (settings := read_operator(operator)) is not None:
+        against(settings, found)
         fleet = settings.fleet
-        kept = f", {len(fleet.keepers)} keepers, {len(fleet.budgets)} budgets" if fleet else ""
+        kept = (f", {len(fleet.keepers)} keepers, {len(fleet.budgets)} budgets, "
+                f"{len(fleet.workflows)} workflows" if fleet else "")
         click.echo(f"{operator}: good: {len(settings.fronts)} fronts{kept}")
 
 
--- a/laurelcourse/fleet/member.py
+++ b/laurelcourse/fleet/member.py
@@ -7,7 +7,7 @@
 import threading
 from collections.abc import Callable
 
-from laurelcourse.fleet.books.forms import Done, GiveBack
+from laurelcourse.fleet.books.forms import Command, Done, GiveBack
 from laurelcourse.fleet.budgets.holder import Holder
 from laurelcourse.fleet.calls.client import Client
 from laurelcourse.fleet.calls.mailbox import Letters
@@ -45,6 +45,7 @@
         self.scheduler, self.session, self.holder = scheduler, session, holder
         self.client, self.letters, self.clock, self.counters = client, letters, clock, counters
         self.told, self.fault = session.state, ""
+        self.others: Callable[[Command, Done], None] = lambda *_: None   # hears of commands not its own
 
     def work(self) -> None:
         """Until the letters are closed."""
@@ -85,9 +86,11 @@
         else:
             self.session.answered(now, order.asked_at, answer)
         self.holder.renewed(now)
-        for command, _ in self.session.settled():
+        for command, done in self.session.settled():
             if isinstance(command.what, GiveBack):
                 self.holder.given(now, command.what)
+            else:
+                self.others(command, done)
         if self.fault and self.session.usable(now):
             self.fault = ""
             log.info("keepers are back")
--- a/laurelcourse/fleet/wiring.py
+++ b/laurelcourse/fleet/wiring.py
@@ -5,6 +5,7 @@
 
 import logging
 import time
+from collections.abc import Callable
 from pathlib import Path
 
 from laurelcourse.chance import Chance
@@ -12,6 +13,7 @@
 from laurelcourse.fleet.budgets.holder import Holder
 from laurelcourse.fleet.calls import codec
 from laurelcourse.fleet.calls.client import Client
+from laurelcourse.fleet.calls.flows_service import FlowsService
 from laurelcourse.fleet.calls.mailbox import Letters
 from laurelcourse.fleet.calls.peers import Peers
 from laurelcourse.fleet.calls.service import Service
@@ -22,11 +24,16 @@
 from laurelcourse.fleet.member import Member, Shares
 from laurelcourse.fleet.orders import Terms
 from laurelcourse.fleet.session import Session
+from laurelcourse.fleet.workflows.steps import Steps
+from laurelcourse.fleet.workflows.work import Flows
 from laurelcourse.net.assembly import Host
+from laurelcourse.operator import meaning_workflows as meaning
 from laurelcourse.operator.form import Fleet
 
 log = logging.getLogger(__name__)
 
+LETTERS = 8192      # of workflows, waiting for their task
+
 
 def clock() -> int:
     """Microseconds that go on while the machine sleeps: a lease must not outlast a suspended machine."""
@@ -79,4 +86,22 @@
     member = Member(host.scheduler, session, holder, client, letters, clock, host.counters)
     host.main.heed(Shares(holder, clock))
     host.works.append(member.work)
+    if fleet.workflows:
+        host.closing.extend(workflows(host, fleet, member, bounds))
     host.closing.extend([lambda: member.close(bounds.talk), *ends])
+
+
+def workflows(host: Host, fleet: Fleet, member: Member, bounds: Limits) -> list[Callable[[], None]]:
+    """Workflows at this relay, and the service for their clients; gives what is to be called at the end."""
+    main, routes = host.main, host.config.settings.routes
+    steps = Steps(host.scheduler, main.choices, main.tries, host.counters,
+                  {one.name: one.repeat for one in routes})
+    flows = Flows(member, Letters(host.scheduler, LETTERS), steps, meaning.definitions(fleet, routes),
+                  Chance(host.config.seed + 3))
+    host.works.append(flows.work)
+    ends = [flows.letters.close]
+    if fleet.flows_port:
+        service = FlowsService(flows, shown((host.config.listen[0], fleet.flows_port)), bounds)
+        service.start()
+        ends.insert(0, lambda: service.stop(bounds.talk))
+    return ends
--- a/laurelcourse/lab/host.py
+++ b/laurelcourse/lab/host.py
@@ -102,12 +102,15 @@
                  changed: dict[str, str] | None = None, bounds: dict[str, str] | None = None,
                  budgets: tuple[dict[str, str], ...] = (), directory: str = NOWHERE, deployer: str = NOWHERE,
                  known: dict | None = None, outside: dict | None = None, broken: str = "", lab: str = "",
-                 skewed: bool = False, leader: Callable[[], str] = str, behind: str = "") -> None:
+                 skewed: bool = False, leader: Callable[[], str] = str, behind: str = "",
+                 flows: str = "") -> None:
         """Relays by name with their sites; `changed` and `bounds` are attributes of the fleet's elements,
-        `behind` XML of fronts behind it. `leader` names who leads now, or nobody by ''."""
+        `behind` XML of fronts behind it, `flows` of workflows, whose
+        clients relays then hear at the ports `flows`. `leader` names who leads now, or nobody by ''."""
         self.sites, self.keepers, self.leader, self.skewed = keepers | members, keepers, leader, skewed
         self.ports = {name: free_port() for name in self.sites}
         self.at = {name: (RELAY, free_port()) for name in keepers}  # where keepers listen
+        self.flows = {name: free_port() for name in self.sites if flows}
         self.ways, self.nodes = Ways(), {}
         self.killed = ""            # whom the last KILL_LEADER met
         fleet, found = FLEET | (changed or {}), known or {"revision": 1, "complete": True, "members": []}
@@ -119,13 +122,16 @@
             listed = [element("keeper", {"name": one, "address": self._address(name, one), "site": where})
                       for one, where in keepers.items()]
             inside = "".join((*listed, element("bounds", BOUNDS | (bounds or {})),
-                              *(element("budget", one) for one in budgets)))
+                              *(element("budget", one) for one in budgets), flows))
             xml = element("operator", {"xmlns": "urn:laurelcourse:operator:1"},
-                          element("fleet", fleet, inside) + behind)
+                          element("fleet", fleet | self._port(name), inside) + behind)
             self.nodes[name] = Node(
                 folder / name, config(name, f"{RELAY}:{self.ports[name]}", directory, deployer, found, told),
                 xml, fleet["folder"], broken, lab, skewed)
 
+    def _port(self, relay: str) -> dict[str, str]:
+        return {"flows-port": str(self.flows[relay])} if self.flows else {}
+
     def _address(self, relay: str, keeper: str) -> str:
         host, port = self.at[keeper]
         if relay != keeper:
--- a/tests/test_fleet_calls.py
+++ b/tests/test_fleet_calls.py
@@ -157,7 +157,7 @@
 def test_grpc_is_loaded_by_nothing_else() -> None:
     names = [".".join(one.relative_to(ROOT).with_suffix("").parts)
              for one in sorted((ROOT / "laurelcourse/fleet").rglob("*.py"))
-             if one.stem not in ("wiring", "member") and (
+             if one.stem not in ("wiring", "member", "flows_client") and (
                  one.parent.name != "calls" or one.stem in ("codec", "mailbox"))]
     assert "laurelcourse.fleet.orders" in names
     code = f"import sys; [__import__(name) for name in {names}]; print('grpc' in sys.modules)"
--- /dev/null
+++ b/tests/test_fleet_flows.py
@@ -0,0 +1,201 @@
+"""Workflows on real relays: three keepers and two members before units that remember what took effect."""
+
+import re
+import threading
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+from conftest import ROOT
+
+from laurelcourse.fleet.books import forms as f
+from laurelcourse.fleet.books.apply import Books
+from laurelcourse.fleet.calls import codec
+from laurelcourse.fleet.flows_client import DONE, ERRORED, UNDONE, FlowsClient, Told
+from laurelcourse.fleet.workflows import definition as d
+from laurelcourse.fleet.workflows import steps, views
+from laurelcourse.lab.host import Host
+from laurelcourse.net import req
+from laurelcourse.standins.base import RELAY, until
+from laurelcourse.standins.directory import DirectoryStand
+from laurelcourse.standins.holds import HoldsStand, Ledger
+
+FLOWS = re.search("<workflow .*</workflow>", (ROOT / "deploy/fleet.xml").read_text(), re.DOTALL).group()
+FLOWS = FLOWS.replace('tries="6"', 'tries="3"').replace('longest-back-off="5s"', 'longest-back-off="300ms"')
+FLOWS = FLOWS.replace('timeout="2s"', 'timeout="700ms"')
+WAIT = 12.0
+
+
+class Fleet:
+    def __init__(self, folder: Path) -> None:
+        self.ledger = Ledger()
+        self.units, directory = [HoldsStand(self.ledger) for _ in range(3)], DirectoryStand()
+        for place, unit in enumerate(self.units):
+            directory.put(f"u-{place}", unit.at)
+        self.host = Host(folder, {"k1": "a", "k2": "b", "k3": "c"}, {"m1": "a", "m2": "b"}, flows=FLOWS,
+                         known=directory.whole(), directory=directory.at)
+        self.host.start()
+
+    def client(self, *names: str) -> FlowsClient:
+        return FlowsClient([f"{RELAY}:{self.host.flows[one]}" for one in names])
+
+    def start(self, mark: str, *names: str, wait: float = WAIT, **values: str) -> Told:
+        values = {"room": f"r-{mark}", "device": f"d-{mark}"} | values
+        return self.client(*(names or ("m1",))).start("booking", "firm", mark, values, wait)
+
+    def behind(self, mark: str, *names: str, wait: float = WAIT) -> tuple[threading.Thread, list[Told]]:
+        told: list[Told] = []
+        thread = threading.Thread(target=lambda: told.append(self.start(mark, *names, wait=wait)))
+        thread.start()
+        return thread, told
+
+    def effects(self, mark: str) -> list[str]:
+        """In the order in which units came to them."""
+        found = [(one.at, f"{one.what} {one.thing.partition('.')[0]}") for one in self.ledger.effects
+                 if one.thing.endswith(f"-{mark}")]
+        return [what for _, what in sorted(found)]
+
+
+@pytest.fixture(scope="module")
+def fleet(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Fleet]:
+    found = Fleet(tmp_path_factory.mktemp("flows"))
+    with found.host:
+        assert until(lambda: found.start("first").answer == DONE, 20)
+        yield found
+
+
+def test_done_and_the_same_mark_at_another_relay_is_the_same(fleet: Fleet) -> None:
+    one = fleet.start("one")
+    again = fleet.start("one", "m2")
+    assert (one.answer, again.answer, one.number) == (DONE, DONE, again.number)
+    assert [state for _, state in again.fates] == ["completed"] * 3
+    assert fleet.effects("one") == ["hold room", "hold device", "notice r-one"]
+    assert fleet.client("k1").look(one.number)[:3] == (one.number, DONE, DONE)
+
+
+def test_a_step_that_is_refused_undoes_those_before_it(fleet: Fleet) -> None:
+    fleet.ledger.answers["hold.device.d-two"] = "syntax"
+    assert fleet.start("two").answer == UNDONE
+    assert fleet.effects("two") == ["hold room", "free room"]
+
+
+def test_a_step_of_unknown_fate_is_undone_first(fleet: Fleet) -> None:
+    fleet.ledger.answers["hold.device.d-three"] = "reset"
+    assert fleet.start("three").answer == UNDONE
+    assert fleet.effects("three") == ["hold room", "hold device", "free device", "free room"]
+
+
+@pytest.mark.parametrize(("definition", "values", "code"), [
+    ("other", {}, "definition_refused"),
+    ("booking", {"room": "a' /* id=x,c=once,d=9 */"}, "definition_refused")])
+def test_what_would_be_no_statement_is_refused_before_anything_is_held(
+        fleet: Fleet, definition: str, values: dict[str, str], code: str) -> None:
+    told = fleet.client("m1").start(definition, "firm", "bad", values, 2.0)
+    assert (told.number, told.answer, told.refused) == (0, ERRORED, code)
+
+
+def test_a_client_that_leaves_undoes(fleet: Fleet) -> None:
+    fleet.ledger.delays["hold.device.d-left"] = 0.5
+    client = fleet.client("m1")
+    thread = threading.Thread(target=lambda: client.start("booking", "firm", "left", {
+        "room": "r-left", "device": "d-left"}, 3.0))
+    thread.start()
+    until(lambda: fleet.ledger.statements("hold.device.d-left"))
+    client.close()
+    until(lambda: fleet.effects("left")[-2:] == ["free device", "free room"], 8)
+    thread.join()
+    assert not fleet.ledger.statements("notice.r-left")
+
+
+def test_an_undo_that_is_stuck_is_named_and_settled_by_hand(fleet: Fleet) -> None:
+    fleet.ledger.answers |= {"hold.device.d-stuck": "syntax", "free.room.r-stuck": "failed"}
+    told = fleet.start("stuck", wait=6.0)
+    assert (told.answer, told.state) == (ERRORED, "stuck")
+    assert "fault=undo_stuck" in fleet.host.nodes["m1"].log.read_text()
+    assert fleet.client("m2").settle(told.number, 0, "by_hand").answer == UNDONE
+
+
+@pytest.mark.parametrize("slow", ["hold.room.r-killed", "hold.device.d-killed2", "notice.r-killed3"])
+def test_the_owner_killed_in_the_middle_is_followed_by_one_other(fleet: Fleet, slow: str) -> None:
+    mark = slow.partition("-")[2]
+    fleet.ledger.delays[slow] = 0.5
+    thread, told = fleet.behind(mark, "m2", "m1")
+    until(lambda: fleet.ledger.statements(slow))
+    fleet.host.nodes["m2"].restart()
+    thread.join()
+    assert told[0].answer in (DONE, UNDONE)
+    effects = fleet.effects(mark)
+    assert effects.count(f"notice r-{mark}") == (told[0].answer == DONE)
+    if told[0].answer == UNDONE:
+        assert [one for one in effects if "free" in one][-1] == "free room"
+
+
+def test_the_owner_that_was_paused_sends_nothing_more(fleet: Fleet) -> None:
+    fleet.ledger.delays["hold.room.r-paused"] = 0.5
+    thread, told = fleet.behind("paused", "m2", "m1")
+    until(lambda: fleet.ledger.statements("hold.room.r-paused"))
+    node = fleet.host.nodes["m2"]
+    node.pause()
+    client = fleet.client("m1")
+    again = client.start("booking", "firm", "paused", {}, 10.0)
+    before = len(fleet.ledger.came)
+    node.wake()
+    thread.join()
+    assert again.answer in (DONE, UNDONE) and told[0][:2] == again[:2]
+    until(lambda: node.log.read_text().rstrip().count("session is now") >= 2, 8)
+    assert len([one for one in fleet.ledger.came[before:] if one.thing.endswith("-paused")]) == 0
+
+
+# Without processes
+
+SEND = d.Send("mark", "x{a}", 5, "deduplicated", 9)
+COMMANDS = (f.Limits(1, 2, 3, 4), f.Begin("t", "m", d.Definition("n", 1, 2, 3, 4, (
+    d.Step("s", SEND, SEND), d.Step("s2", SEND, None, False, True, "never", True))), (("a", "b"),)),
+    f.Intend(1, 0, True, 2), f.Result(1, 0, False, 2, "unknown"), f.Leave(3, "left"),
+    f.Settle(3, 1, "again"), f.Adopt(3, 4, 5))
+
+
+@pytest.mark.parametrize("what", COMMANDS, ids=lambda one: type(one).__name__)
+def test_each_command_crosses_as_it_is(what: f.What) -> None:
+    batch = f.Batch(1, 2, (f.Command(f.Fence("r", 1, 1, 1), 3, what),))
+    assert codec.unpacked(codec.packed(batch)) == batch
+
+
+def test_a_workflow_is_told_as_the_books_have_it() -> None:
+    books, send = Books(), d.Send("read", "x", 5)
+    found = d.Definition("n", 100, 2, 3, 4, (d.Step("s", send, send),))
+    fence = books.apply(1, f.Batch(1, 1, (f.Command(None, 7, f.Open("r", "a")),)))[0].value
+    books.apply(2, f.Batch(1, 1, (f.Command(f.Fence(*fence), 1, f.Begin("t", "m", found, (("a", "b"),))),)))
+    assert views.seen(views.told(books.workflow(1))) == books.workflow(1)
+    assert views.seen(views.told(None)) is None
+
+
+@pytest.mark.parametrize(("end", "statuses", "once", "outcome"), [
+    (req.COMPLETED, ["reset", "ok"], False, f.COMPLETED), (req.SHED, [], False, f.NEVER_RAN),
+    (req.SHED, ["busy", "unsent"], False, f.NEVER_RAN), (req.SHED, ["reset"], False, f.UNKNOWN),
+    (req.SHED, ["failed"], True, f.NEVER_RAN), (req.ERRORED, ["at_fault"], False, f.FAILED),
+    (req.ERRORED, ["busy", "at_fault"], True, f.FAILED),
+    (req.ERRORED, ["reset", "at_fault"], False, f.UNKNOWN),
+    (req.ERRORED, [], False, f.UNKNOWN), (req.WITHDRAWN, ["ok"], False, f.UNKNOWN)])
+def test_what_is_said_of_a_step(end: str, statuses: list[str], once: bool, outcome: str) -> None:
+    assert steps.outcome(end, statuses, once) == outcome
+
+
+def test_no_try_is_begun_without_a_lease() -> None:
+    begun: list[str] = []
+
+    class Tries:
+        def begin(self, *_: object) -> None:
+            begun.append("sent")
+
+        def unsent(self, *_: object) -> None:
+            begun.append("unsent")
+
+    owned, leases = steps.Owned(Tries()), [True, False]
+    asked = steps.statement(steps.Send("i", "k", "mark", "SELECT blob FROM rows WHERE handle = 'a'", 0),
+                            5000, True)
+    assert asked.repeated and (asked.req, asked.mark, asked.left_ms) == ("i", "k", 5)
+    owned.statuses["i"], owned.usable["i"] = [], lambda: leases.pop(0)
+    for number in range(2):
+        owned.begin(number, 0, 9, asked, None)
+    assert begun == ["sent", "unsent"]
--- a/tests/test_fleet_settings.py
+++ b/tests/test_fleet_settings.py
@@ -48,7 +48,7 @@
 def test_check_takes_the_example_and_says_what_it_holds() -> None:
     path = ROOT / "deploy" / "fleet.xml"
     ran = CliRunner().invoke(cli.main, ["check", "-o", str(path)])
-    assert (ran.exit_code, ran.output) == (0, f"{path}: good: 0 fronts, 3 keepers, 4 budgets\n")
+    assert (ran.exit_code, ran.output) == (0, f"{path}: good: 0 fronts, 3 keepers, 4 budgets, 1 workflows\n")
 
 
 def test_the_order_in_the_file_changes_nothing_in_the_terms(tmp_path: Path) -> None:
