lab workflows: bookings through real relays under faults, judged by units and clients

Six clients book at six relays while these are killed, paused and cut off. Eight checks are counted by units that remember effects and by clients alone; a guard to take out for each.

--- a/laurelcourse/fleet/flows_client.py
+++ b/laurelcourse/fleet/flows_client.py
@@ -17,13 +17,14 @@
 from laurelcourse.fleet.calls import fleet_pb2_grpc
 
 DONE, UNDONE, ERRORED = "done", "undone", "errored"
+UNHEARD = "unheard"  # the state that is told when no relay said anything in time
 SPARE = 0.15     # of the time, for the way there and back
 PAUSE = 0.05
 AGAIN = ("stopping", "no_quorum", "lapsed_lease", "fenced_off", "overloaded", "not_leader", "unknown_fate")
 
 
 class Told(NamedTuple):
-    """`answer`: DONE, UNDONE, ERRORED; `state`: where the workflow stands ("unknown" if nobody says);
+    """`answer`: DONE, UNDONE, ERRORED; `state`: where the workflow stands ("unknown" if the books did not say);
     `fates`: of each step; `refused`: an error's code, if the fleet said one."""
 
     number: int
@@ -68,7 +69,7 @@
         return self._asked("Settle", lambda _: wire.SettleOrder(number=number, step=step, how=how), wait)
 
     def _asked(self, verb: str, order: object, wait: float) -> Told:
-        over, found, at = time.monotonic() + wait, Told(0, ERRORED, "unknown", (), "unknown_fate"), 0
+        over, found, at = time.monotonic() + wait, Told(0, ERRORED, UNHEARD, (), "unknown_fate"), 0
         while not self.closed and (left := over - time.monotonic()) > PAUSE:
             stub, at = self.stubs[at % len(self.stubs)], at + 1
             try:
--- a/laurelcourse/lab/command.py
+++ b/laurelcourse/lab/command.py
@@ -19,7 +19,12 @@
     return tuf.run, 50.0
 
 
-LABS = {"relay": _relay, "tuf": _tuf}
+def _workflows() -> tuple[Callable[..., Report], float]:
+    from laurelcourse.lab import workflows
+    return workflows.run, 45.0
+
+
+LABS = {"relay": _relay, "tuf": _tuf, "workflows": _workflows}
 CALM = frozenset(("tuf",))  # labs that can do without faults
 
 
--- a/laurelcourse/lab/guards.py
+++ b/laurelcourse/lab/guards.py
@@ -94,6 +94,75 @@
     Front._answer = noted
 
 
+def _undo_first_first() -> None:
+    from laurelcourse.fleet.books import workflows as books
+
+    def first(flow: Any) -> int:  # noqa: ANN401
+        return next((at for at, one in enumerate(flow.steps)
+                     if one.state in books.TO_UNDO and flow.definition.steps[at].effect), -1)
+    books.to_undo = first
+
+
+def _step_sent(change: Callable[..., None]) -> Callable[[], None]:
+    """`change` is given the sending itself and its arguments."""
+    def take_out() -> None:
+        from laurelcourse.fleet.workflows.steps import Steps
+        send = Steps.send
+        Steps.send = lambda self, *told: change(self, lambda *more: send(self, *more), *told)
+    return take_out
+
+
+def _no_undo_sent(_: Any, give: Any, send: Any, left: int, again: bool, usable: Any,  # noqa: ANN401
+                  came: Any) -> None:  # noqa: ANN401
+    if ".undo" in send.key:
+        came("completed")
+    else:
+        give(send, left, again, usable, came)
+
+
+def _notice_again(_: Any, give: Any, send: Any, left: int, again: bool, usable: Any,  # noqa: ANN401
+                  came: Any) -> None:  # noqa: ANN401
+    if "notice." in send.statement:
+        give(send._replace(id=send.id + "b"), left, again, usable, lambda _: None)
+    give(send, left, again, usable, came)
+
+
+def _late_tries(self: Any, give: Any, send: Any, left: int, again: bool, usable: Any,  # noqa: ANN401
+                came: Any) -> None:  # noqa: ANN401
+    """As from an owner that neither its lease nor its step's time holds back."""
+    give(send, left, again, usable, came)
+    late = send._replace(id=send.id + "late")
+    self.scheduler.after(left, lambda: give(late, left, again, lambda: True, lambda _: None))
+
+
+def _always_back() -> None:
+    from laurelcourse.fleet.books import workflows as books
+    books.passed = lambda _: False
+
+
+def _refusals_unknown() -> None:
+    from laurelcourse.fleet.workflows import steps
+    outcome = steps.outcome
+    steps.outcome = lambda *told: {"failed": "unknown"}.get(outcome(*told), outcome(*told))
+
+
+def _any_answer() -> None:
+    from laurelcourse.fleet.workflows.run import Waiting
+    look = Waiting.look
+
+    def wrong(self: Any, now: int, view: Any) -> Any:  # noqa: ANN401
+        tell = look(self, now, view)
+        return tell._replace(answer="undone") if tell and tell.answer == "done" and now & 1 else tell
+    Waiting.look = wrong
+
+
+def _never_told() -> None:
+    from laurelcourse.fleet.calls.flows_service import FlowsService
+    from laurelcourse.fleet.workflows.run import Waiting
+    Waiting.look = lambda *_: None
+    FlowsService._spare = lambda self, wait: 10 * wait
+
+
 GUARDS: dict[str, dict[str, Callable[[], Any]]] = {
     "relay": {
         "one_outcome_each": _answer_twice, "bad_build_released": _verdict(face.VOTE_ON),
@@ -102,4 +171,9 @@
         "one_outcome_each": _one_more_answer, "wrong_bytes_accepted": _no_hash,
         "stale_metadata_passed": _no_floor, "to_draining_after_grace": _no_drain,
         "exposure_over_cap": _no_cap, "manifests_twice": _manifests_again, "answers_held_back": _hold_back},
+    "workflows": {
+        "out_of_order": _undo_first_first, "effects_left_behind": _step_sent(_no_undo_sent),
+        "undone_though_done": _always_back, "notices_twice": _step_sent(_notice_again),
+        "two_owners_acted": _step_sent(_late_tries), "undo_of_never_ran": _refusals_unknown,
+        "one_outcome_each": _any_answer, "answered_after_deadline": _never_told},
 }
