--- a/laurelcourse/fleet/flows_client.py
+++ b/laurelcourse/fleet/flows_client.py
@@ -24,8 +24,8 @@
 
 
 class Told(NamedTuple):
-    """`answer`: DONE, UNDONE, ERRORED; `state`: where the workflow stands ("unknown" if the books did not say);
-    `fates`: of each step; `refused`: an error's code, if the fleet said one."""
+    """`answer`: DONE, UNDONE, ERRORED; `state`: where the workflow stands ("unknown" if the books did not
+    say); `fates`: of each step; `refused`: an error's code, if the fleet said one."""
 
     number: int
     answer: str
--- a/laurelcourse/lab/flows_seen.py
+++ b/laurelcourse/lab/flows_seen.py
@@ -2,18 +2,19 @@
 
 from collections import Counter
 from collections.abc import Iterable
+from itertools import pairwise
 from typing import NamedTuple
 
 from laurelcourse.fleet.flows_client import DONE, ERRORED, UNDONE, UNHEARD, Told
 from laurelcourse.standins.holds import Effect
 
 HOLDS = ("room", "device", "slot")   # in the order of the steps; a thing is named `room.MARK`
-QUICK = 0.6                          # a workflow answered so soon met no takeover and no step's timeout
+QUICK = 1.2                          # a workflow answered so soon met no takeover: that takes a lease
 SPARE = 0.25                         # seconds by which a busy machine may be late
 
 
 class Asked(NamedTuple):
-    """One call of a client. `told` is None if it left; `calm`: the relays asked met no fault meanwhile."""
+    """One call of a client. `told` is None if it left; `calm`: no relay was paused then."""
 
     mark: str
     began: float
@@ -56,8 +57,8 @@
 def out_of_order(seen: Seen) -> int:
     """Steps that took effect before an earlier one, undos before a later one's."""
     forward, back = _firsts(seen.effects, ("hold", "notice")), _firsts(seen.effects, ("free",))
-    return (sum(later < one for one, later in zip(forward, forward[1:], strict=False))
-            + sum(later > one for one, later in zip(back, back[1:], strict=False)))
+    return (sum(later < one for one, later in pairwise(forward))
+            + sum(later > one for one, later in pairwise(back)))
 
 
 def two_owners(seen: Seen) -> int:
--- a/laurelcourse/lab/guards.py
+++ b/laurelcourse/lab/guards.py
@@ -138,6 +138,8 @@
 def _always_back() -> None:
     from laurelcourse.fleet.books import workflows as books
     books.passed = lambda _: False
+    books.to_undo = lambda flow: max((at for at, one in enumerate(flow.steps) if one.state in books.TO_UNDO
+                                      and flow.definition.steps[at].undo), default=-1)
 
 
 def _refusals_unknown() -> None:
--- a/laurelcourse/lab/workflows.py
+++ b/laurelcourse/lab/workflows.py
@@ -1,9 +1,11 @@
-"""Bookings over units through real relays of one fleet, while these are killed, paused and cut off: what units
-and clients saw of them is judged by `flows_seen.py`."""
+"""Bookings over units through real relays of one fleet, while these are killed, paused and cut off: what
+units and clients saw of them is judged by `flows_seen.py`."""
 
 import tempfile
 import threading
 import time
+from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 
 from laurelcourse.chance import Chance
@@ -20,8 +22,9 @@
 
 KEEPERS, MEMBERS = {"k1": "a", "k2": "b", "k3": "c"}, {"m1": "a", "m2": "b", "m3": "c"}
 UNITS, CLIENTS, WAIT, PAUSE = 4, 6, 8.0, 0.15
-SETTLES, STARTS = 12.0, 8.0                      # seconds of the whole, at most: after the faults, before them
+SETTLES, STARTS = 12.0, 8.0    # seconds of the whole, at most: after the faults, before them
 KINDS = (faults.KILL, faults.KILL_LEADER, faults.PAUSE, faults.CUT, faults.SILENT, faults.SITE_CUT)
+CALM = 3.0                     # seconds before the first fault
 LEASE = int(FLEET["lease"].removesuffix("ms")) * 1000
 SLOW = 0.4                                       # seconds that some steps take
 WHAT = {
@@ -70,9 +73,12 @@
             count += 1
             mark, dice = f"{self.number}x{count}", self.chance.below(100)
             self._prepare(mark, dice)
+            ledger = self.lab.ledger
             client, gone = self._client(), threading.Event()
-            leaving = threading.Timer(0.05 * (1 + self.chance.below(20)), leave, (client, gone))
-            if dice % 10 == 7:
+            moment = (lambda: False) if dice % 10 == 7 else partial(ledger.statements, f"notice.note.{mark}")
+            leaving = threading.Thread(target=leave, args=(
+                client, gone, moment, 0.05 * (1 + self.chance.below(20)) if dice % 10 == 7 else WAIT))
+            if dice % 10 == 7 or 24 <= dice < 36:
                 leaving.start()
             began = time.monotonic()
             told = client.start("booking", f"firm-{self.number}", mark, {"mark": mark}, WAIT)
@@ -80,7 +86,6 @@
             self.lab.asked.append(Asked(mark, began, took, WAIT, None if gone.is_set() else told,
                                         not self.lab.met(began, began + took)))
             self.lab.tenants[mark] = f"firm-{self.number}"
-            leaving.cancel()
             client.close()
 
     def _prepare(self, mark: str, dice: int) -> None:
@@ -95,9 +100,14 @@
             ledger.delays[f"hold.device.{mark}"] = SLOW
 
 
-def leave(client: FlowsClient, gone: threading.Event) -> None:
-    gone.set()
-    client.close()
+def leave(client: FlowsClient, gone: threading.Event, moment: Callable[[], object], after: float) -> None:
+    """A client that leaves at this moment, or so long after its asking."""
+    over = time.monotonic() + after
+    while not moment() and time.monotonic() < over and not client.closed:
+        time.sleep(0.01)
+    if not client.closed:
+        gone.set()
+        client.close()
 
 
 class Lab:
@@ -109,8 +119,9 @@
         self.plain: list[float] = []
 
     def met(self, began: float, ended: float) -> bool:
-        """Whether a fault began in this time or not long before it."""
-        return any(began - 2 * LEASE / 1e6 - 2 < at < ended for at, _ in list(self.faults))
+        """Whether a relay may have been paused in this time: one that is, can't answer."""
+        return any(began - 3 * LEASE / 1e6 < at < ended and faults.PAUSE in line.split()
+                   for at, line in list(self.faults))
 
     def tell(self, line: str) -> None:
         self.faults.append((time.monotonic(), line))
@@ -193,6 +204,7 @@
     for one in callers:
         one.thread.start()
     threading.Thread(target=lab.ask_plain, daemon=True).start()
+    lab.over.wait(CALM)
     lasts = max(seconds - SETTLES - WAIT - (time.monotonic() - began), 5.0)
     plan = faults.Plan(tuple(KEEPERS.items()), tuple(MEMBERS.items()), lasts=int(lasts * 1e6), lease=LEASE,
                        kinds=KINDS, gap=2_000_000)
