--- a/laurelcourse/fleet/calls/flows_service.py
+++ b/laurelcourse/fleet/calls/flows_service.py
@@ -97,7 +97,7 @@
 
         def gone() -> None:
             if leaves and not future.done():
-                self.flows._late(self.flows.left, told)
+                self.flows.late(self.flows.left, told)
                 _set(future, UnknownFateError("client"))
         try:
             with self.lock:
--- a/laurelcourse/fleet/workflows/work.py
+++ b/laurelcourse/fleet/workflows/work.py
@@ -94,7 +94,7 @@
     def put(self, work: Callable, *args: object) -> None:
         self.letters.put((work, args))
 
-    def _late(self, work: Callable, *args: object) -> None:
+    def late(self, work: Callable, *args: object) -> None:
         """An answer that finds no room is as one that was lost on its way."""
         try:
             self.letters.put((work, args))
@@ -204,7 +204,7 @@
 
     def _question(self, question: Question, then: Callable[[Answer | FleetError], None]) -> None:
         try:
-            self.member.client.ask(question, lambda answer: self._late(then, answer))
+            self.member.client.ask(question, lambda answer: self.late(then, answer))
         except FleetError as error:
             then(error)
 
@@ -282,7 +282,7 @@
 
         def came(outcome: str) -> None:
             one.came(self.clock(), what, outcome)
-            self._late(len, ())
+            self.late(len, ())
         self.sender.send(send, left, what.tried > 1, usable, came)
 
     def _tell(self, now: int) -> None:
@@ -328,7 +328,7 @@
         under = self.under = now, tuple(pairs)
         try:
             self.member.client.submit(Submit(tuple(command for command, _ in pairs), now),
-                                      lambda answer: self._late(self._submitted, under, answer))
+                                      lambda answer: self.late(self._submitted, under, answer))
         except FleetError as error:
             self._submitted(under, error)
 
@@ -351,7 +351,7 @@
         """What came of a command whose answer was lost, from the member's task."""
         item = self.lost.pop((command.fence.session, command.mark), None)
         if item is not None:
-            self._late(item.then, done)
+            self.late(item.then, done)
 
     # Looks at the books
 
@@ -381,7 +381,7 @@
             # Not answered: asked again a beat later, for runs wait on it.
             for number in looking[1]:
                 self.member.scheduler.after(
-                    self.beat, lambda number=number: self._late(self._again, number, thens[number]))
+                    self.beat, lambda number=number: self.late(self._again, number, thens[number]))
             return
         for number, view in found.items():
             self._saw(number, view)
--- a/tests/test_fleet_flows.py
+++ b/tests/test_fleet_flows.py
@@ -1,24 +1,32 @@
 """Workflows on real relays: three keepers and two members before units that remember what took effect."""
 
+import copy
+import json
 import re
 import threading
 from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
+import test_fleet_desk
+from click.testing import CliRunner
 from conftest import ROOT
 
+from laurelcourse import cli
 from laurelcourse.fleet.books import forms as f
 from laurelcourse.fleet.books.apply import Books
 from laurelcourse.fleet.calls import codec
 from laurelcourse.fleet.flows_client import DONE, ERRORED, UNDONE, FlowsClient, Told
+from laurelcourse.fleet.orders import Question
 from laurelcourse.fleet.workflows import definition as d
 from laurelcourse.fleet.workflows import steps, views
-from laurelcourse.lab.host import Host
+from laurelcourse.lab import flows_seen
+from laurelcourse.lab.host import NOWHERE, Host
 from laurelcourse.net import req
 from laurelcourse.standins.base import RELAY, until
 from laurelcourse.standins.directory import DirectoryStand
-from laurelcourse.standins.holds import HoldsStand, Ledger
+from laurelcourse.standins.holds import Effect, HoldsStand, Ledger
+from laurelcourse.standins.settings import OUTSIDE, config
 
 FLOWS = re.search("<workflow .*</workflow>", (ROOT / "deploy/fleet.xml").read_text(), re.DOTALL).group()
 FLOWS = FLOWS.replace('tries="6"', 'tries="3"').replace('longest-back-off="5s"', 'longest-back-off="300ms"')
@@ -186,6 +194,62 @@
     assert steps.outcome(end, statuses, once) == outcome
 
 
+def seen(words: str) -> dict[str, flows_seen.Seen]:
+    """Of one mark: `hold.room`, and so on, in order; one with a `?` came without effect."""
+    ones = [(Effect(at, *word.strip("?").split("."), "", ""), word[-1] != "?")
+            for at, word in enumerate(words.split())]
+    ones = [(one._replace(thing=one.thing + ".m"), effect) for one, effect in ones]
+    return flows_seen.by_mark(["m"], [one for one, _ in ones], [one for one, effect in ones if effect],
+                              frozenset(["device.m"]))
+
+
+@pytest.mark.parametrize(("words", "answer", "ended", "took", "broken"), [
+    ("hold.room hold.device hold.slot notice.n", DONE, DONE, 1.0, {}),
+    ("hold.room hold.device free.device free.room", UNDONE, UNDONE, 2.0, {}),
+    ("hold.device hold.room hold.slot notice.n", DONE, DONE, 1.0, {"out_of_order": 1, "two_owners_acted": 1}),
+    ("hold.room hold.device free.room free.device", UNDONE, UNDONE, 2.0, {
+        "out_of_order": 1, "two_owners_acted": 1}),
+    ("hold.room hold.device free.device", UNDONE, UNDONE, 2.0, {"effects_left_behind": 1}),
+    ("hold.room free.room hold.room", UNDONE, UNDONE, 2.0, {"effects_left_behind": 1, "two_owners_acted": 1}),
+    ("hold.room free.room notice.n", DONE, DONE, 1.0, {"undone_though_done": 1, "two_owners_acted": 1}),
+    ("hold.room notice.n notice.n", DONE, DONE, 1.0, {"notices_twice": 1}),
+    ("hold.room hold.device? free.device free.room", UNDONE, UNDONE, 0.3, {"undo_of_never_ran": 1}),
+    ("hold.room hold.device? free.device free.room", UNDONE, UNDONE, 2.0, {}),
+    ("hold.room", UNDONE, DONE, 1.0, {"one_outcome_each": 1}),
+    ("hold.room", "maybe", DONE, 1.0, {"one_outcome_each": 1}),
+    ("hold.room", ERRORED, DONE, 8.5, {"answered_after_deadline": 1})])
+def test_how_the_lab_judges(words: str, answer: str, ended: str, took: float, broken: dict[str, int]) -> None:
+    asked = [flows_seen.Asked("m", 0.0, took, 8.0, Told(1, answer, answer, ()), True)]
+    counts = flows_seen.judged(seen(words), asked, {"m": Told(1, ended, ended, ())})
+    assert {name: count for name, count in counts.items() if count} == broken
+
+
+def test_the_lead_sets_limits_and_takes_no_word_of_the_leaders_from_outside(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(test_fleet_desk, "encode", codec.packed)
+    monkeypatch.setattr(test_fleet_desk, "decode", codec.unpacked)
+    limits = f.Limits(9, 8, 7, 6)
+    desks = test_fleet_desk.Fleet(terms=test_fleet_desk.TERMS._replace(limits=limits))
+    fence = desks.open("r")
+    desks.until(lambda: desks.leader().books.limits() == limits)
+    for what in (limits, f.Adopt(1, 2, fence.session)):
+        assert desks.ask("submit", test_fleet_desk.submit(None, what)).code == "out_of_order"
+    assert desks.ask("ask", Question("flows", str(fence.session))) == f.Done(((), (), ()))
+    assert desks.ask("ask", Question("flow", "1,x,2")) == f.Done(((), ()))
+
+
+def test_check_holds_workflows_against_the_platforms_routes(tmp_path: Path) -> None:
+    for effect, code, words in (("deduplicated", 0, "1 workflows"), ("at_most_once", 2, "may not be")):
+        told = copy.deepcopy(OUTSIDE)
+        told["classes"][1]["effect"] = effect
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps(config("r-1", f"{RELAY}:1", NOWHERE, NOWHERE, {
+            "revision": 1, "complete": True, "members": []}, told)))
+        ran = CliRunner().invoke(cli.main, ["check", "--config", str(path), "-o",
+                                            str(ROOT / "deploy/fleet.xml")])
+        assert (ran.exit_code, words in ran.output) == (code, True), ran.output
+
+
 def test_no_try_is_begun_without_a_lease() -> None:
     begun: list[str] = []
 
