--- a/laurelcourse/fleet/books/apply.py
+++ b/laurelcourse/fleet/books/apply.py
@@ -8,7 +8,7 @@
 from hashlib import blake2b
 from typing import NamedTuple
 
-from laurelcourse.fleet.books import budgets, sessions
+from laurelcourse.fleet.books import budgets, reservations, sessions
 from laurelcourse.fleet.books.forms import (
     Batch,
     Budget,
@@ -33,6 +33,7 @@
 
 FORM = 1                                     # of the snapshot
 FROM_LEADER, FROM_SESSION = (Lapse, Define, Grant), (Close, GiveBack)
+FROM_LEADER, FROM_SESSION = FROM_LEADER + reservations.FROM_LEADER, FROM_SESSION + reservations.FROM_SESSION
 
 
 class Live(NamedTuple):
@@ -65,6 +66,7 @@
             raise ValueError(f"entry {index} after {self._state.index}: applied twice")
         self._state.index, self._state.time = index, max(self._state.time, batch.at)
         budgets.free(self._state)
+        reservations.free(self._state)
         return tuple(self._one(batch.term, command) for command in batch.commands)
 
     def _one(self, term: int, command: Command) -> Done:
@@ -92,6 +94,8 @@
                 budgets.define(state, what)
             case Grant():
                 budgets.grant(state, what)
+            case _ if type(what) in reservations.FROM_LEADER:
+                return Done(reservations.lead(state, what))
         return Done()
 
     def _from_session(self, command: Command) -> Done:
@@ -104,7 +108,10 @@
             self._end(session, budgets.CLOSED)
             return Done()
         try:
-            done = Done((budgets.give_back(state, session, what),))
+            if type(what) in reservations.FROM_SESSION:
+                done = Done(reservations.ask(state, session, what))
+            else:
+                done = Done((budgets.give_back(state, session, what),))
         except FleetError as error:
             done = _refused(error)
         sessions.keep(session, command.mark, done)
@@ -112,6 +119,7 @@
 
     def _end(self, session: Session, how: str) -> None:
         budgets.release(self._state, session, how)
+        reservations.orphan(self._state, session)
         sessions.end(self._state, session)
 
     # What the leader's desk looks at
@@ -164,6 +172,28 @@
         there = self._state.scopes.get(scope)
         return there.held() if there else 0
 
+    # Transfers
+
+    def jobs(self) -> tuple[reservations.Kept, ...]:
+        """Jobs that are not ended, by name."""
+        return reservations.kept(self._state)
+
+    def ended(self, job: str) -> str:
+        """How a job ended, if it did and that is still known."""
+        return self._state.transfers.ended.get(job, ("", 0))[0]
+
+    def resources(self) -> tuple[str, ...]:
+        """Links (`a>b`) and sites (`a`), by name."""
+        return reservations.resources(self._state)
+
+    def room(self, resource: str, first: int, until: int) -> tuple[int, ...]:
+        """What is free in each slice of `first` up to `until`; below 0 where it is over."""
+        return reservations.room(self._state, resource, first, until)
+
+    def over(self) -> tuple[str, ...]:
+        """Resources that have shrunk below what is reserved: their jobs must be planned anew."""
+        return tuple(one for one in self.resources() if reservations.is_over(self._state, one))
+
     # All of it, as it goes from one keeper to another
 
     def plain(self) -> list:
@@ -174,7 +204,8 @@
                 [[name, past.boot, past.session, past.mark] for name, past in s.past.items()],
                 [list(budget) for budget in s.budgets.values()],
                 [list(s.leaving[name]) for name in sorted(s.leaving)],
-                [_scope(name, s.scopes[name]) for name in sorted(s.scopes)]]
+                [_scope(name, s.scopes[name]) for name in sorted(s.scopes)],
+                reservations.plain(s)]
         return [*rest, _hash(_written(rest))]
 
     def snapshot(self) -> bytes:
@@ -229,7 +260,8 @@
 
 def _read(plain: list) -> State:
     state = State()
-    _, state.index, state.time, state.last, live, past, defined, leaving, scopes, _ = plain
+    _, state.index, state.time, state.last, live, past, defined, leaving, scopes, moves, _ = plain
+    reservations.read(state, moves)
     for fence, site, mark, opened, forgotten, dones in live:
         session = Session(Fence(*fence), site, mark, opened)
         session.forgotten = forgotten
--- a/laurelcourse/fleet/books/forms.py
+++ b/laurelcourse/fleet/books/forms.py
@@ -100,3 +100,108 @@
     code: str = ""
     to: str = ""
     told: tuple[tuple[str, int | str], ...] = ()
+
+
+# Transfers between sites: links and compute slots reserved together. A slice is `state.SLICE` microseconds.
+
+class Link(NamedTuple):
+    """One direction between two sites, bytes a second; `kept` of it is for ordinary reqs."""
+
+    origin: str
+    to: str
+    capacity: int
+    kept: int
+
+
+class Site(NamedTuple):
+    """Compute slots for transfers at one site."""
+
+    name: str
+    slots: int
+
+
+class Places(NamedTuple):
+    """Links and sites as the operators' settings have them, from the leader; the whole list each time."""
+
+    links: tuple[Link, ...]
+    sites: tuple[Site, ...]
+
+
+class Shrink(NamedTuple):
+    """From the leader: what a link (`a>b`, all of its bytes a second) or a site (`a`, slots) has from slice
+    `since` on, until told anew; more than before is a recovery. What is reserved stands."""
+
+    resource: str
+    capacity: int
+    since: int
+
+
+class Recall(NamedTuple):
+    """From the leader: these jobs are to let go, or to move; what they hold counts until they did."""
+
+    jobs: tuple[str, ...]
+
+
+class Job(NamedTuple):
+    """Times: whole microseconds of the books' account. `slots`: taken at both ends while bytes move."""
+
+    name: str
+    firm: str
+    origin: str
+    to: str
+    size: int                    # bytes
+    earliest: int
+    deadline: int
+    earnings: int
+    slots: int
+
+
+class Stretch(NamedTuple):
+    """`rate` bytes a second on each link of `way` in slices `first` up to, not with, `until`."""
+
+    first: int
+    until: int
+    rate: int
+    way: tuple[str, ...]         # sites, both ends among them
+
+
+class Reserve(NamedTuple):
+    """All of it or nothing, for the asking session. Value: the job's name."""
+
+    job: Job
+    pieces: tuple[Stretch, ...]
+
+
+class Move(NamedTuple):
+    """The owner's new plan for what is not proven yet, in the place of the one before, or nothing changes."""
+
+    job: str
+    pieces: tuple[Stretch, ...]
+
+
+class Adopt(NamedTuple):
+    """An orphan's next owner. Value: the byte proven."""
+
+    job: str
+
+
+class Progress(NamedTuple):
+    """So many bytes from the start are proven to be at the far end."""
+
+    job: str
+    proven: int
+
+
+class Commit(NamedTuple):
+    """The copy becomes visible, once, and all that is reserved is free. Value: the job's size."""
+
+    job: str
+
+
+class Free(NamedTuple):
+    """The owner gives the job up: nothing of it moves any more."""
+
+    job: str
+
+
+What = What | Places | Shrink | Recall | Reserve | Move | Adopt | Progress | Commit | Free
--- a/laurelcourse/fleet/books/state.py
+++ b/laurelcourse/fleet/books/state.py
@@ -5,7 +5,7 @@
 microseconds of the books' own account, amounts whole numbers.
 """
 
-from laurelcourse.fleet.books.forms import Budget, Done, Fence
+from laurelcourse.fleet.books.forms import Budget, Done, Fence, Job, Link, Site, Stretch
 
 MARKS = 64             # of each live session, whose outcomes are kept
 PAST = 1_000           # names without a live session whose boots are remembered
@@ -57,9 +57,44 @@
         return sum(granted for granted, _ in self.shares.values()) + self.held()
 
 
+# Transfers
+SLICE = 1_000_000      # microseconds: reserved rates change only between slices, so sums are exact
+GRACE = 60_000_000     # after its deadline a job keeps what it has so long, then all is freed
+FORGET = 86_400_000_000  # so long after its end a job's outcome is known
+JOBS, ENDED = 4_096, 4_096  # jobs that hold something; outcomes kept
+JOB_PIECES = 256
+LINKS, SITES, STEPS = 256, 64, 16
+HORIZON = 1_000_000    # slices that a job may reach ahead
+
+
+class Booked:
+    """A job with what it has reserved. `owner`: a session, 0 for an orphan."""
+
+    __slots__ = ("job", "owner", "pieces", "proven", "state")
+
+    def __init__(self, job: Job, owner: int, pieces: tuple[Stretch, ...], proven: int, state: str) -> None:
+        self.job, self.owner, self.pieces, self.proven, self.state = job, owner, pieces, proven, state
+
+
+class Transfers:
+    """`steps`: of each resource, from which slice on how much may be reserved, as told by Shrink. `deltas`:
+    where what is reserved rises and falls; found from the jobs, not kept twice."""
+
+    __slots__ = ("deltas", "ended", "jobs", "links", "next_end", "sites", "steps")
+
+    def __init__(self) -> None:
+        self.links: dict[str, Link] = {}
+        self.sites: dict[str, Site] = {}
+        self.steps: dict[str, list[tuple[int, int]]] = {}
+        self.jobs: dict[str, Booked] = {}
+        self.ended: dict[str, tuple[str, int]] = {}      # how and when, in the order in which they ended
+        self.deltas: dict[str, dict[int, int]] = {}
+        self.next_end = NUMBER                           # nothing ends by itself before
+
+
 class State:
     __slots__ = ("budgets", "index", "last", "leaving", "live", "names", "next_free", "past", "scopes",
-                 "shares", "time")
+                 "shares", "time", "transfers")
 
     def __init__(self) -> None:
         self.index = self.time = self.last = 0       # last: the session opened last
@@ -71,6 +106,7 @@
         self.scopes: dict[str, Scope] = {}
         self.shares = 0                              # how many, in all scopes
         self.next_free = NUMBER                      # no piece is free before
+        self.transfers = Transfers()
 
 
 def number(value: object, least: int = 0, most: int = AMOUNT) -> bool:
--- a/laurelcourse/fleet/errors.py
+++ b/laurelcourse/fleet/errors.py
@@ -247,6 +247,24 @@
     do = "jobs are planned anew, those that earn least first; look at the link"
 
 
+class PlanUnfitError(FleetError):
+    code = "plan_unfit"
+    what = "the plan does not fit the job: {fault}"
+    do = "nothing was reserved; the job is planned anew by itself, report it if it lasts"
+
+
+class NoSuchJobError(FleetError):
+    code = "no_such_job"
+    what = "no job of this name is under way; known of its end: '{end}'"
+    do = "nothing if it is done; else ask for the transfer anew under another name"
+
+
+class JobHeldError(FleetError):
+    code = "job_held"
+    what = "session {session} owns the job"
+    do = "nothing was done; only its owner acts on it, until that one's lease has lapsed"
+
+
 class UnknownCommandError(FleetError):
     code = "unknown_command"
     what = "the books of this version don't know '{kind}'"
--- /dev/null
+++ b/laurelcourse/fleet/transfers/plan.py
@@ -0,0 +1,278 @@
+"""Plans for transfers: which jobs move, when, how fast, by which way. Pure: proposals, which the books check.
+
+Time is cut into grains of whole slices. A plan is made greedily in several orders (earliest deadline first:
+Jackson 1955; most earnings for what is taken: Dantzig 1957), the best by earnings is taken, and those left out
+push out what earns less. Bytes, bytes a second, slots: whole numbers throughout.
+"""
+
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+from laurelcourse.fleet.books.forms import Job, Stretch
+
+MILLION = 1_000_000
+BETTER = 1_100_000      # of a million: a new plan must earn so much more than the one that stands
+TRIES = 64              # jobs left out for which room is sought by pushing others out
+PUSHED = 3              # at most so many for one
+
+
+class Want(NamedTuple):
+    """A job with what of it is still to move. `first` and `until`: grains within which it may move."""
+
+    job: Job
+    left: int
+    first: int
+    until: int
+
+
+class Room(NamedTuple):
+    """What is free in each grain of the time planned for, from slice `start` on. A grain has `grain` slices of
+    `slice` microseconds; links are named `a>b`. What a link or site of no name here has is nothing."""
+
+    start: int
+    grain: int
+    slice: int
+    links: dict[str, tuple[int, ...]]
+    sites: dict[str, tuple[int, ...]]
+
+    def grains(self) -> int:
+        return min((len(one) for one in (*self.links.values(), *self.sites.values())), default=0)
+
+    def carries(self, rate: int) -> int:
+        """Bytes in one grain."""
+        return rate * self.grain * self.slice // MILLION
+
+    def rate(self, size: int) -> int:
+        """The least that carries so many bytes in one grain."""
+        return -(-size * MILLION // (self.grain * self.slice))
+
+
+Part = tuple[int, int, tuple[str, ...]]                  # grain, rate, way
+Plan = dict[str, tuple[Part, ...]]                       # by job's name, those that move
+
+
+def wanted(room: Room, job: Job, proven: int = 0) -> Want:
+    long = room.grain * room.slice
+    start = room.start * room.slice
+    return Want(job, job.size - proven, max(0, -(-(job.earliest - start) // long)),
+                min(room.grains(), max(0, (job.deadline - start) // long)))
+
+
+def ways(room: Room, job: Job) -> tuple[tuple[str, ...], ...]:
+    """The straight one first, then those over one other site, by name."""
+    over = [(job.origin, site, job.to) for site in sorted(room.sites) if site not in (job.origin, job.to)]
+    return tuple(way for way in [(job.origin, job.to), *over]
+                 if all(one in room.links for one in links(way)))
+
+
+def links(way: tuple[str, ...]) -> list[str]:
+    return [f"{origin}>{to}" for origin, to in zip(way, way[1:], strict=False)]
+
+
+class Free:
+    """What is still free while a plan is made."""
+
+    __slots__ = ("links", "room", "sites")
+
+    def __init__(self, room: Room) -> None:
+        self.room = room
+        self.links = {name: list(room.links[name]) for name in room.links}
+        self.sites = {name: list(room.sites[name]) for name in room.sites}
+
+    def put(self, job: Job, parts: Iterable[Part], sign: int = -1) -> None:
+        """Takes it, or gives it back (sign 1)."""
+        grains = set()
+        for grain, rate, way in parts:
+            grains.add(grain)
+            for link in links(way):
+                self.links[link][grain] += sign * rate
+        for grain in grains:
+            self.sites[job.origin][grain] += sign * job.slots
+            self.sites[job.to][grain] += sign * job.slots
+
+    def fit(self, want: Want, fullest: bool) -> tuple[Part, ...]:
+        """Parts that carry all that is left, or none. As early as can be, or, `fullest`, in the grains where
+        most can move, which takes compute slots for the shortest time."""
+        job, room = want.job, self.room
+        if job.origin not in self.sites or job.to not in self.sites or job.origin == job.to:
+            return ()
+        there, here = self.sites[job.origin], self.sites[job.to]
+        open_ways = [(way, links(way)) for way in ways(room, job)]
+        found = []
+        for grain in range(want.first, want.until):
+            if there[grain] < job.slots or here[grain] < job.slots:
+                continue
+            rates = [(min(self.links[one][grain] for one in path), way) for way, path in open_ways]
+            total = sum(rate for rate, _ in rates if rate > 0)
+            if total > 0:
+                found.append((grain, total, rates))
+        if fullest:
+            found.sort(key=lambda one: (-one[1], one[0]))
+        parts, left = [], want.left
+        for grain, _, rates in found:
+            for rate, way in rates:
+                if left > 0 and rate > 0:
+                    rate = min(rate, room.rate(left))
+                    left -= room.carries(rate)
+                    parts.append((grain, rate, way))
+            if left <= 0:
+                return tuple(sorted(parts))
+        return ()
+
+
+def earned(wants: Iterable[Want], plan: Plan) -> int:
+    return sum(want.job.earnings for want in wants if want.job.name in plan)
+
+
+def _by_deadline(want: Want) -> tuple:
+    return want.until, -want.job.earnings * MILLION // want.left, want.job.name
+
+
+def _by_bytes(want: Want) -> tuple:
+    return -want.job.earnings * MILLION // want.left, want.until, want.job.name
+
+
+def _by_earnings(want: Want) -> tuple:
+    return -want.job.earnings, want.until, want.job.name
+
+
+def _by_slots(want: Want) -> tuple:
+    """Earnings for bytes and slots taken together: where compute is short, bytes alone mislead."""
+    return -want.job.earnings * MILLION // (want.left * (1 + want.job.slots)), want.until, want.job.name
+
+
+def _by_asking(want: Want) -> tuple:
+    return want.job.earliest, want.job.name
+
+
+ORDERS: tuple[Callable[[Want], tuple], ...] = (_by_deadline, _by_bytes, _by_earnings, _by_slots)
+
+
+def _filled(room: Room, wants: Iterable[Want], fullest: bool) -> tuple[Plan, Free]:
+    free, plan = Free(room), {}
+    for want in wants:
+        parts = free.fit(want, fullest)
+        if parts:
+            free.put(want.job, parts)
+            plan[want.job.name] = parts
+    return plan, free
+
+
+def first_come(room: Room, wants: Iterable[Want]) -> Plan:
+    """What no planning would do: in the order asked, as early as can be. For comparison."""
+    return _filled(room, sorted(wants, key=_by_asking), False)[0]
+
+
+def planned(room: Room, wants: Iterable[Want]) -> Plan:
+    """The plan that earns most of those tried; what is left over is named in none."""
+    wants = [want for want in wants if want.left > 0]
+    best: tuple[int, Plan, Free, bool] | None = None
+    for order in ORDERS:
+        for fullest in (False, True):
+            plan, free = _filled(room, sorted(wants, key=order), fullest)
+            if best is None or earned(wants, plan) > best[0]:
+                best = earned(wants, plan), plan, free, fullest
+    _, plan, free, fullest = best
+    return _pushed(plan, free, wants, fullest)
+
+
+def _pushed(plan: Plan, free: Free, wants: list[Want], fullest: bool) -> Plan:
+    """Those left out that earn most take the room of a few that earn less together."""
+    by_name = {want.job.name: want for want in wants}
+    for want in sorted((one for one in wants if one.job.name not in plan), key=_by_earnings)[:TRIES]:
+        job = want.job
+        near = {job.origin, job.to}
+        others = sorted((by_name[name] for name in plan if by_name[name].job.earnings < job.earnings
+                         and near & {by_name[name].job.origin, by_name[name].job.to}),
+                        key=lambda one: (one.job.earnings, one.job.name))
+        out, lost = [], 0
+        parts = free.fit(want, fullest)
+        for other in others:
+            if parts or len(out) == PUSHED or lost + other.job.earnings >= job.earnings:
+                break
+            out.append((other, plan.pop(other.job.name)))
+            free.put(other.job, out[-1][1], 1)
+            lost += other.job.earnings
+            parts = free.fit(want, fullest)
+        if parts:
+            plan[job.name] = parts
+            free.put(job, parts)
+        for other, before in out:
+            again = free.fit(other, fullest) if parts else before
+            if again:
+                plan[other.job.name] = again
+                free.put(other.job, again)
+    return plan
+
+
+def stretches(room: Room, parts: Iterable[Part]) -> tuple[Stretch, ...]:
+    """As the books take them: neighbours in time of one rate and way are one."""
+    made: list[Stretch] = []
+    for grain, rate, way in sorted(parts, key=lambda one: (one[2], one[0])):
+        first = room.start + grain * room.grain
+        if made and (made[-1].until, made[-1].rate, made[-1].way) == (first, rate, way):
+            made[-1] = made[-1]._replace(until=first + room.grain)
+        else:
+            made.append(Stretch(first, first + room.grain, rate, way))
+    return tuple(sorted(made))
+
+
+class Held(NamedTuple):
+    """A job that has a plan. `told`: it was told to move before and has not done so yet."""
+
+    want: Want
+    parts: tuple[Part, ...]
+    told: bool
+
+
+class Changes(NamedTuple):
+    """`recall`: jobs to be told now, each once. `plan`: new parts by name, for those told and newcomers; a
+    told one without any is to be freed."""
+
+    recall: tuple[str, ...]
+    plan: Plan
+
+
+def replanned(room: Room, held: tuple[Held, ...], new: tuple[Want, ...]) -> Changes:
+    """Room: all that there is for transfers, of which `held` take part. Those whose plans fit stay as they
+    are; where too much is taken, or a plan carries too little, those that earn least are moved, or let go. A
+    newcomer pushes others out only where all together earns BETTER than what stands: plans don't swing."""
+    free, stay, moved = Free(room), [], []
+    for one in sorted(held, key=lambda one: _by_earnings(one.want)):
+        if not one.told and _carried(room, one) and _fits(free, one):
+            free.put(one.want.job, one.parts)
+            stay.append(one)
+        else:
+            moved.append(one)
+    plan = {}
+    for want in [one.want for one in moved] + sorted(new, key=_by_bytes):
+        parts = free.fit(want, False)
+        if parts:
+            free.put(want.job, parts)
+            plan[want.job.name] = parts
+    stands = {one.want.job.name: one.parts for one in stay} | plan
+    wants = [one.want for one in held] + list(new)
+    anew = planned(room, wants) if len(stands) < len(wants) else stands
+    told = {one.want.job.name for one in held if one.told}
+    if earned(wants, anew) * MILLION > earned(wants, stands) * BETTER:
+        before = {one.want.job.name: one.parts for one in stay}
+        plan = {name: parts for name, parts in sorted(anew.items()) if before.get(name) != parts}
+        return Changes(tuple(sorted(one.want.job.name for one in held if one.want.job.name not in told
+                                    and anew.get(one.want.job.name) != one.parts)), plan)
+    return Changes(tuple(sorted(one.want.job.name for one in moved if one.want.job.name not in told)), plan)
+
+
+def _carried(room: Room, one: Held) -> bool:
+    return sum(room.carries(rate) for _, rate, _ in one.parts) >= one.want.left
+
+
+def _fits(free: Free, one: Held) -> bool:
+    job = one.want.job
+    if any(link not in free.links for _, _, way in one.parts for link in links(way)) or not (
+            job.origin in free.sites and job.to in free.sites):
+        return False
+    free.put(job, one.parts)
+    fits = all(free.links[link][grain] >= 0 for grain, _, way in one.parts for link in links(way)) and all(
+        min(free.sites[job.origin][grain], free.sites[job.to][grain]) >= 0 for grain, _, _ in one.parts)
+    free.put(job, one.parts, 1)
+    return fits
