--- a/laurelcourse/fleet/books/reservations.py
+++ b/laurelcourse/fleet/books/reservations.py
@@ -211,7 +211,8 @@
 
 
 def _check_plan(state: State, job: Job, pieces: tuple[Stretch, ...], proven: int, grace: int) -> None:
-    if type(pieces) is not tuple or len(pieces) > JOB_PIECES or not all(type(one) is Stretch for one in pieces):
+    if type(pieces) is not tuple or len(pieces) > JOB_PIECES or any(type(one) is not Stretch
+                                                                       for one in pieces):
         raise PlanUnfitError(job.name, fault="its pieces")
     now, carried = state.time // SLICE, 0
     least, most = max(now, -(-job.earliest // SLICE)), min((job.deadline + grace) // SLICE, now + HORIZON)
--- a/laurelcourse/fleet/transfers/best.py
+++ b/laurelcourse/fleet/transfers/best.py
@@ -1,7 +1,7 @@
-"""The best plan by a solver (OR-tools CP-SAT), for time that is bounded: for comparison, and where it earns more.
+"""The best plan by a solver (OR-tools CP-SAT) in bounded time: to compare with, and where it earns more.
 
-Which jobs move is a yes or no, and slots are taken whole or not at all in a grain, so a linear programme alone
-(GLOP) gives only a bound; CP-SAT gives plans, with a bound beside. Rates are counted in units of about a
+Which jobs move is a yes or no, and slots are taken whole or not at all in a grain, so a linear programme
+alone (GLOP) gives only a bound; CP-SAT gives plans, with a bound beside. Rates are counted in units of about a
 thousandth of the widest link: capacities are rounded down, bytes up, so that what is found always fits.
 """
 
@@ -20,7 +20,8 @@
     proved: bool        # the plan earns just that
 
 
-def best(room: Room, wants: Iterable[Want], seconds: float, seed: int = 1, hint: Plan | None = None) -> Best | None:
+def best(room: Room, wants: Iterable[Want], seconds: float, seed: int = 1,
+         hint: Plan | None = None) -> Best | None:
     """None where the solver is not there or finds nothing in so many seconds."""
     try:
         from ortools.sat.python import cp_model
--- a/laurelcourse/fleet/transfers/pace.py
+++ b/laurelcourse/fleet/transfers/pace.py
@@ -10,7 +10,7 @@
 
 MICRO = 1_000_000
 BURST = 50_000          # microseconds of its rate that a sender may send at once
-SLACK = 200_000         # microseconds of its rate that may come at once: bursts of the way add to the sender's
+SLACK = 200_000         # microseconds of its rate that may come at once: the way's bursts add to the sender's
 
 
 def rates(pieces: Iterable[Stretch], slice_us: int) -> tuple[tuple[int, int], ...]:
@@ -33,7 +33,8 @@
 
     __slots__ = ("_at", "_credit", "_steps", "burst", "least")
 
-    def __init__(self, steps: tuple[tuple[int, int], ...], now: int, burst: int = BURST, least: int = 0) -> None:
+    def __init__(self, steps: tuple[tuple[int, int], ...], now: int, burst: int = BURST,
+                 least: int = 0) -> None:
         self._steps, self._at, self._credit = steps, now, 0
         self.burst, self.least = burst, least
 
@@ -43,7 +44,7 @@
         for (begin, rate), (end, _) in zip(self._steps, [*self._steps[1:], (now, 0)], strict=True):
             since, until = max(begin, self._at), min(end, now)
             if since < until:
-                # What the stretch before left is cut to this one's bucket: a fast one's rest is not a slow one's.
+                # What a fast stretch left over would be far too much at once in a slow one.
                 most = max(rate * self.burst, self.least * MICRO) if rate else 0
                 self._credit = min(most, self._credit + rate * (until - since))
         self._at = now
--- a/laurelcourse/fleet/transfers/plan.py
+++ b/laurelcourse/fleet/transfers/plan.py
@@ -1,11 +1,12 @@
 """Plans for transfers: which jobs move, when, how fast, by which way. Pure: proposals, which the books check.
 
 Time is cut into grains of whole slices. A plan is made greedily in several orders (earliest deadline first:
-Jackson 1955; most earnings for what is taken: Dantzig 1957), the best by earnings is taken, and those left out
-push out what earns less. Bytes, bytes a second, slots: whole numbers throughout.
+Jackson 1955; most earnings for what is taken: Dantzig 1957), the best by earnings is taken, and those left
+out push out what earns less. Bytes, bytes a second, slots: whole numbers throughout.
 """
 
 from collections.abc import Callable, Iterable
+from itertools import pairwise
 from typing import NamedTuple
 
 from laurelcourse.fleet.books.forms import Job, Stretch
@@ -26,8 +27,8 @@
 
 
 class Room(NamedTuple):
-    """What is free in each grain of the time planned for, from slice `start` on. A grain has `grain` slices of
-    `slice` microseconds; links are named `a>b`. What a link or site of no name here has is nothing."""
+    """What is free in each grain of the time planned for, from slice `start` on. A grain has `grain` slices
+    of `slice` microseconds; links are named `a>b`. What a link or site of no name here has is nothing."""
 
     start: int
     grain: int
@@ -66,7 +67,7 @@
 
 
 def links(way: tuple[str, ...]) -> list[str]:
-    return [f"{origin}>{to}" for origin, to in zip(way, way[1:], strict=False)]
+    return [f"{origin}>{to}" for origin, to in pairwise(way)]
 
 
 class Free:
