--- a/laurelcourse/fleet/transfers/best.py
+++ b/laurelcourse/fleet/transfers/best.py
@@ -1,7 +1,7 @@
-"""The best plan by a solver (OR-tools CP-SAT) in bounded time: to compare with, and where it earns more.
+"""Plans by solvers (OR-tools) in bounded time: to compare with, and where they earn more.
 
 Which jobs move is a yes or no, and slots are taken whole or not at all in a grain, so a linear programme
-alone (GLOP) gives only a bound; CP-SAT gives plans, with a bound beside. Rates are counted in units of about a
+alone (GLOP) gives only a bound; CP-SAT gives plans, with a bound beside. Rates are in units of about a
 thousandth of the widest link: capacities are rounded down, bytes up, so that what is found always fits.
 """
 
@@ -10,7 +10,7 @@
 
 from laurelcourse.fleet.transfers.plan import MILLION, Part, Plan, Room, Want, earned, links, planned, ways
 
-EARNS = 1_020_000       # of a million: the solver's plan must earn so much more than the greedy one
+EARNS = 1_010_000       # of a million: the led plan must earn so much more than the greedy one
 UNITS = 1_000           # of the widest link
 
 
@@ -67,7 +67,7 @@
         model.add(sum(taken) <= room.sites[site][grain])
     model.maximize(sum(want.job.earnings * moves[want.job.name] for want in wants if want.job.name in moves))
     for name, yes in moves.items():
-        model.add_hint(yes, name in (hint or {}))
+        model.add_hint(yes, int(name in (hint or {})))
     solver = cp_model.CpSolver()
     solver.parameters.max_time_in_seconds, solver.parameters.num_workers = seconds, 1
     solver.parameters.random_seed = seed
@@ -82,13 +82,61 @@
     return Best(plan, int(solver.best_objective_bound + 1e-6), status == cp_model.OPTIMAL)
 
 
-def chosen(room: Room, wants: Iterable[Want], seconds: float, seed: int = 1) -> Plan:
-    """The greedy plan, or the solver's where that earns EARNS as much in so many seconds; 0: greedy alone."""
+def relaxed(room: Room, wants: Iterable[Want], seconds: float) -> tuple[int, dict[str, int]] | None:
+    """By a linear programme, where a job may move in part and take part of a slot: what no plan on this grid
+    can out-earn, and how much of each job moves there, in parts of a million. None as in `best`."""
+    try:
+        from ortools.linear_solver import pywraplp
+    except ImportError:
+        return None
+    solver = pywraplp.Solver.CreateSolver("GLOP")
+    if solver is None:
+        return None
+    solver.SetTimeLimit(int(seconds * 1_000))
+    links_of = {(link, grain): solver.Constraint(0, float(amount)) for link, free in room.links.items()
+                for grain, amount in enumerate(free)}
+    sites_of = {(site, grain): solver.Constraint(0, float(amount)) for site, free in room.sites.items()
+                for grain, amount in enumerate(free)}
+    goal, moves = solver.Objective(), {}
+    for want in wants:
+        job, need = want.job, room.rate(want.left)
+        if want.left <= 0 or not {job.origin, job.to} <= room.sites.keys():
+            continue
+        moves[job.name] = share = solver.NumVar(0, 1, "")
+        goal.SetCoefficient(share, job.earnings)
+        whole = solver.Constraint(0, 0)
+        whole.SetCoefficient(share, -1)
+        for grain in range(want.first, want.until):
+            if min(room.sites[job.origin][grain], room.sites[job.to][grain]) < job.slots:
+                continue
+            open_ways = [(way, min(need, *(room.links[link][grain] for link in links(way))))
+                         for way in ways(room, job)]
+            most = min(need, sum(rate for _, rate in open_ways if rate > 0))
+            for way, rate in open_ways:
+                if rate <= 0:
+                    continue
+                # In parts of the job: rates in bytes a second would spread over too many magnitudes.
+                part = solver.NumVar(0, rate / need, "")
+                whole.SetCoefficient(part, 1)
+                for link in links(way):
+                    links_of[link, grain].SetCoefficient(part, need)
+                for site in (job.origin, job.to):
+                    there = sites_of[site, grain]
+                    there.SetCoefficient(part, job.slots * need / most)
+    goal.SetMaximization()
+    if solver.Solve() != pywraplp.Solver.OPTIMAL:
+        return None
+    shares = {name: int(share.solution_value() * MILLION) for name, share in moves.items()}
+    return int(goal.Value() + 1), shares
+
+
+def chosen(room: Room, wants: Iterable[Want], seconds: float) -> Plan:
+    """The greedy plan, or one led by the linear programme where that earns EARNS as much and the programme
+    answers in so many seconds; 0: greedy alone."""
     wants = list(wants)
     greedy = planned(room, wants)
     if seconds <= 0 or len(greedy) == sum(want.left > 0 for want in wants):
         return greedy
-    found = best(room, wants, seconds, seed, greedy)
-    if found is None or earned(wants, found.plan) * MILLION <= earned(wants, greedy) * EARNS:
-        return greedy
-    return found.plan
+    found = relaxed(room, wants, seconds)
+    led = planned(room, wants, found[1]) if found else greedy
+    return led if earned(wants, led) * MILLION > earned(wants, greedy) * EARNS else greedy
--- a/laurelcourse/fleet/transfers/plan.py
+++ b/laurelcourse/fleet/transfers/plan.py
@@ -9,12 +9,16 @@
 from itertools import pairwise
 from typing import NamedTuple
 
+from laurelcourse.chance import Chance
 from laurelcourse.fleet.books.forms import Job, Stretch
 
 MILLION = 1_000_000
 BETTER = 1_100_000      # of a million: a new plan must earn so much more than the one that stands
 TRIES = 64              # jobs left out for which room is sought by pushing others out
 PUSHED = 3              # at most so many for one
+ROUNDS = 200            # orders tried by chance, at most
+FILLS = 20_000          # jobs placed anew in all of them, at most
+IN_VAIN = 80            # so many that earn no more end the search
 
 
 class Want(NamedTuple):
@@ -164,16 +168,34 @@
     return _filled(room, sorted(wants, key=_by_asking), False)[0]
 
 
-def planned(room: Room, wants: Iterable[Want]) -> Plan:
-    """The plan that earns most of those tried; what is left over is named in none."""
+def planned(room: Room, wants: Iterable[Want], likely: dict[str, int] | None = None) -> Plan:
+    """The plan that earns most of those tried; what is left over is named in none. `likely`: by name, how far
+    each job belongs to a good plan, as a solver told; one more order to try."""
     wants = [want for want in wants if want.left > 0]
-    best: tuple[int, Plan, Free, bool] | None = None
-    for order in ORDERS:
+    orders = list(ORDERS)
+    if likely:
+        orders.append(lambda want: (-likely.get(want.job.name, 0), want.until, want.job.name))
+    best: tuple[int, Plan, Free, bool, list[Want]] | None = None
+    for order in orders:
         for fullest in (False, True):
-            plan, free = _filled(room, sorted(wants, key=order), fullest)
+            queue = sorted(wants, key=order)
+            plan, free = _filled(room, queue, fullest)
             if best is None or earned(wants, plan) > best[0]:
-                best = earned(wants, plan), plan, free, fullest
-    _, plan, free, fullest = best
+                best = earned(wants, plan), plan, free, fullest, queue
+    most, plan, free, fullest, queue = best
+    chance, without = Chance(len(wants)), 0
+    for _ in range(min(ROUNDS, FILLS // max(1, len(wants)))):
+        out = [place for place, want in enumerate(queue) if want.job.name not in plan]
+        if not out or without == IN_VAIN:
+            break
+        # Who was left out comes nearer to the front (squeaky wheels: Joslin, Clements 1999).
+        tried, place = list(queue), out[chance.below(len(out))]
+        tried.insert(chance.below(place + 1), tried.pop(place))
+        other, left = _filled(room, tried, fullest)
+        without += 1
+        if earned(wants, other) >= most:
+            without = 0 if earned(wants, other) > most else without
+            most, plan, free, queue = earned(wants, other), other, left, tried
     return _pushed(plan, free, wants, fullest)
 
 
