--- a/laurelcourse/fleet/books/forms.py
+++ b/laurelcourse/fleet/books/forms.py
@@ -173,7 +173,8 @@
 
 
 class Move(NamedTuple):
-    """The owner's new plan for what is not proven yet, in the place of the one before, or nothing changes."""
+    """The owner's new plan for what is not proven yet, in the place of the one before, or nothing changes.
+    Without any pieces a recalled job parks: it holds nothing, and goes on when it moves again."""
 
     job: str
     pieces: tuple[Stretch, ...]
--- a/laurelcourse/fleet/books/reservations.py
+++ b/laurelcourse/fleet/books/reservations.py
@@ -157,6 +157,12 @@
     if there.owner != session.fence.session:
         raise JobHeldError(what.job, session=there.owner)
     match what:
+        case Move(pieces=()):
+            # Two that must change places can't both move first: each parks, then moves.
+            if there.state != RECALLED:
+                raise OutOfOrderError(what.job, state=there.state, order="park")
+            _book(state, there, ())
+            return (what.job,)
         case Move():
             _check_plan(state, there.job, what.pieces, there.proven, GRACE)
             _check_room(state, _uses(there.job, what.pieces), _uses(there.job, there.pieces))
--- a/laurelcourse/fleet/transfers/plan.py
+++ b/laurelcourse/fleet/transfers/plan.py
@@ -248,9 +248,42 @@
     told: bool
 
 
+def seen(names: Iterable[str], free: Callable[[str, int, int], tuple[int, ...]], start: int, grain: int,
+         slice_us: int, grains: int) -> Room:
+    """The room that books tell of (`Books.resources`, `Books.room`): each grain has its narrowest slice's.
+    `start` is a multiple of `grain`, so that plans made at different times have the same grains."""
+    found = {}
+    for name in names:
+        slices = free(name, start, start + grain * grains)
+        found[name] = tuple(min(slices[at:at + grain]) for at in range(0, grain * grains, grain))
+    return Room(start, grain, slice_us, {name: one for name, one in found.items() if ">" in name},
+                {name: one for name, one in found.items() if ">" not in name})
+
+
+def held(room: Room, job: Job, proven: int, pieces: Iterable[Stretch], now: int, told: bool) -> Held:
+    """A job as the books have it. What it moves from slice `now` to the room's start is taken as moved."""
+    soon, parts = 0, []
+    for one in pieces:
+        soon += one.rate * max(0, min(one.until, room.start) - max(one.first, now)) * room.slice // MILLION
+        first = max(one.first, room.start) - room.start
+        until = min(one.until - room.start, room.grains() * room.grain)
+        parts += [(at, one.rate, one.way) for at in range(first // room.grain, -(-until // room.grain))]
+    want = wanted(room, job, proven)
+    return Held(want._replace(left=max(0, want.left - soon)), tuple(sorted(parts)), told)
+
+
+def whole(room: Room, there: Iterable[Held]) -> Room:
+    """The room as it is without these jobs, as `replanned` takes it."""
+    free = Free(room)
+    for one in there:
+        free.put(one.want.job, one.parts, 1)
+    return room._replace(links={name: tuple(free.links[name]) for name in free.links},
+                         sites={name: tuple(free.sites[name]) for name in free.sites})
+
+
 class Changes(NamedTuple):
-    """`recall`: jobs to be told now, each once. `plan`: new parts by name, for those told and newcomers; a
-    told one without any is to be freed."""
+    """`recall`: jobs to be told now, each once; they park. `plan`: new parts by name, for newcomers and those
+    told; one told before that has none is to be freed. Parts that the books refuse wait for who must park."""
 
     recall: tuple[str, ...]
     plan: Plan
@@ -267,7 +300,7 @@
             stay.append(one)
         else:
             moved.append(one)
-    plan = {}
+    plan: Plan = {}
     for want in [one.want for one in moved] + sorted(new, key=_by_bytes):
         parts = free.fit(want, False)
         if parts:
--- a/tests/test_fleet_transfers.py
+++ b/tests/test_fleet_transfers.py
@@ -330,6 +330,42 @@
     assert (changes.recall, tuple(sorted(changes.plan))) == (recall, planned)
 
 
+@pytest.mark.parametrize("seed", [1, 2, 3, 4])
+def test_after_a_shrink_and_a_lost_slot_plans_come_to_fit_again(seed: int) -> None:
+    room, wants = instance(seed, 30, 12, 80)
+    played = Play(seed)
+    links = tuple(Link(*name.split(">"), free[0], 0) for name, free in room.links.items())
+    played.give(None, Places(links, tuple(Site(name, free[0]) for name, free in room.sites.items())))
+    made = plan.planned(room, wants)
+    for want in wants:
+        if want.job.name in made:
+            reserve = Reserve(want.job, plan.stretches(room, made[want.job.name]))
+            assert not played.give(played.fences[0], reserve).code
+    played.at = 300 * S + 1
+    for resource, amount in (("a>b", links[0].capacity // 3), ("c", 4)):
+        played.give(None, Shrink(resource, amount, 600))
+    books, told, earnings = played.books, [], 0
+    assert books.over()
+    for _ in range(4):
+        seen = plan.seen(books.resources(), books.room, 600, 300, S, 10)
+        there = tuple(plan.held(seen, one.job, one.proven, one.pieces, played.at // S,
+                                one.state == reservations.RECALLED) for one in books.jobs())
+        changes = plan.replanned(plan.whole(seen, there), there, ())
+        for one in books.jobs():
+            if one.state == reservations.RECALLED and one.job.name not in changes.plan:
+                played.give(played.fences[0], Free(one.job.name))
+                earnings += one.job.earnings
+            elif one.state == reservations.RECALLED:
+                new = Move(one.job.name, plan.stretches(seen, changes.plan[one.job.name]))
+                assert played.give(played.fences[0], new).code in ("", "capacity_taken")
+        told += (now := played.give(None, Recall(changes.recall)).value)
+        assert not any(played.give(played.fences[0], Move(name, ())).code for name in now)
+    assert not books.over() and told and len(told) == len(set(told))
+    assert all(one.state == reservations.RESERVED for one in books.jobs())
+    all_of_it = sum(want.job.earnings for want in wants if want.job.name in made)
+    assert earnings < all_of_it // 2, (earnings, all_of_it, len(told))
+
+
 # Pacing
 
 def test_a_sender_keeps_to_the_rate_and_a_receiver_refuses_what_goes_beyond() -> None:
