--- a/tests/test_fleet_transfers.py
+++ b/tests/test_fleet_transfers.py
@@ -233,6 +233,13 @@
     ((Reserve(JOB, FULL), Progress("x", 60), Move("x", (Stretch(5, 9, 10, ("a", "b")),))), "", {}),
     ((Reserve(JOB, FULL), Progress("x", 100), Commit("x"), Reserve(JOB, FULL)), "no_such_job",
      {"end": "committed"}),
+    ((Reserve(JOB._replace(slots=2), (Stretch(2, 9, 50, ("a", "b")), Stretch(3, 4, 9, ("a", "b")))),
+      Reserve(JOB._replace(name="y"), (Stretch(5, 9, 25, ("a", "b")),))),
+     "capacity_taken", {"resource": "b"}),
+    ((Reserve(JOB, FULL), Shrink("a>b", 40, 3), Move("x", FULL)), "", {}),
+    ((Reserve(JOB, FULL), Shrink("a>b", 40, 3), Move("x", (Stretch(2, 4, 51, ("a", "b")),))),
+     "capacity_taken", {"resource": "a>b", "free": 30}),
+    ((Reserve(JOB, FULL), Move("x", ())), "out_of_order", {"order": "park"}),
     ((Places((), ()),), "out_of_order", {}), ((Shrink("a>b", 1, 0),) * 20, "", {}),
     ((Shrink("q", 1, 0),), "definition_refused", {}),
     ((Places((Link("a", "b", 1, 2),), ()),), "out_of_order", {}),
@@ -247,6 +254,21 @@
     assert told.items() <= dict(done.told).items()
 
 
+def test_bounds_and_forgetting(monkeypatch: pytest.MonkeyPatch) -> None:
+    for name in ("JOBS", "ENDED", "STEPS"):
+        monkeypatch.setattr(reservations, name, 2)
+    play, plan_of = Play(1), (Stretch(2, 6, 25, ("a", "b")),)
+    plans = {name: Reserve(JOB._replace(name=name, slots=0), plan_of) for name in "xyz"}
+    assert [play.give(play.fences[0], what).code for what in plans.values()] == ["", "", "crowded"]
+    assert [play.give(None, Shrink("a>b", 90, at)).code for at in (3, 4, 5)] == ["", "", "crowded"]
+    for what in (Free("x"), plans["z"], Free("y"), Free("z")):
+        assert not play.give(play.fences[0], what).code
+    assert [play.books.ended(name) for name in "xyz"] == ["", "freed", "freed"]
+    play.at = reservations.FORGET
+    play.give(None, Recall(()))
+    assert [play.books.ended(name) for name in "yz"] == ["", ""]
+
+
 # Plans
 
 def instance(seed: int, jobs: int, grains: int = 24, load: int = 100) -> tuple[plan.Room, list[plan.Want]]:
@@ -322,6 +344,8 @@
     (flat(60, 2, 40), (held("x", 5, 40), held("y", 9, 60)), (), ("x",), ("x",)),       # over the third site
     (flat(40, 1), (held("x", 5, 40), held("y", 9, 40)), (), ("x",), ()),        # a slot lost: the least goes
     (flat(40, 1), (held("x", 5, 40, True), held("y", 9, 40)), (), (), ()),      # told once
+    (flat(100), (held("x", 5, 40, True),), (), (), ("x",)),
+    (flat(100), (held("x", 5, 40)._replace(parts=((0, 40, ("a", "b")),)),), (), ("x",), ("x",)),  # late
     (flat(100, 1), (held("x", 100, 100),), (NEW,), (), ()),                     # slightly better: no swinging
     (flat(100, 1), (held("x", 90, 100),), (NEW,), ("x",), ("n",)),
 ])
