--- a/tests/test_fleet_transfers.py
+++ b/tests/test_fleet_transfers.py
@@ -409,6 +409,8 @@
                ((1, 1_000), (2, 4_000), (3, 3_000), (4, 3_000)))
     assert fast_taken <= 11_000 + (1_000 + 3_000) * 2 * pace.SLACK // S + 4 * 64
     assert not send.take(now, -1) and send.due(now, 1) == 0
+    early, late = (pace.receiver(pieces, S, at, 64) for at in (0, 5 * S))
+    assert early.take(S - 1, 64) and not early.take(S - 1, 300) and late.take(5 * S + pace.SLACK - 1, 64)
     fresh = pace.sender(pieces, S, 0, 64)
     due = fresh.due(0, 50)
     assert not fresh.take(due - 1, 50) and fresh.take(due, 50) and due == S + 50_000
