--- a/laurelcourse/fleet/books/apply.py
+++ b/laurelcourse/fleet/books/apply.py
@@ -8,7 +8,7 @@
 from hashlib import blake2b
 from typing import NamedTuple
 
-from laurelcourse.fleet.books import budgets, sessions, workflows
+from laurelcourse.fleet.books import budgets, reservations, sessions, workflows
 from laurelcourse.fleet.books.forms import (
     Adopt,
     Batch,
@@ -39,9 +39,9 @@
 )
 
 FORM = 1                                     # of the snapshot
-FROM_LEADER = Lapse, Define, Grant, Limits
 OF_WORKFLOWS = Begin, Intend, Result, Leave, Settle, Adopt
-FROM_SESSION = Close, GiveBack, *OF_WORKFLOWS
+FROM_LEADER = Lapse, Define, Grant, Limits, *reservations.FROM_LEADER
+FROM_SESSION = Close, GiveBack, *OF_WORKFLOWS, *reservations.FROM_SESSION
 
 
 class Live(NamedTuple):
@@ -75,6 +75,7 @@
         self._state.index, self._state.time = index, max(self._state.time, batch.at)
         budgets.free(self._state)
         workflows.forget(self._state)
+        reservations.free(self._state)
         return tuple(self._one(batch.term, command) for command in batch.commands)
 
     def _one(self, term: int, command: Command) -> Done:
@@ -107,6 +108,8 @@
                 workflows.limit(state, what)
             case Adopt():
                 return Done(workflows.adopt(state, what, what.to))
+            case _ if type(what) in reservations.FROM_LEADER:
+                return Done(reservations.lead(state, what))
         return Done()
 
     def _from_session(self, command: Command) -> Done:
@@ -121,6 +124,8 @@
         try:
             if type(what) in OF_WORKFLOWS:
                 done = Done(workflows.carry_out(state, session, what))
+            elif type(what) in reservations.FROM_SESSION:
+                done = Done(reservations.ask(state, session, what))
             else:
                 done = Done((budgets.give_back(state, session, what),))
         except FleetError as error:
@@ -130,6 +135,7 @@
 
     def _end(self, session: Session, how: str) -> None:
         budgets.release(self._state, session, how)
+        reservations.orphan(self._state, session)
         sessions.end(self._state, session)
 
     # What the leader's desk looks at
@@ -204,6 +210,27 @@
     def behind(self) -> int:
         """How many are undoing or stuck."""
         return self._state.flows.behind
+    # Transfers
+
+    def jobs(self) -> tuple[reservations.Kept, ...]:
+        """Jobs that are not ended, by name."""
+        return reservations.kept(self._state)
+
+    def ended(self, job: str) -> str:
+        """How a job ended, if it did and that is still known."""
+        return self._state.transfers.ended.get(job, ("", 0))[0]
+
+    def resources(self) -> tuple[str, ...]:
+        """Links (`a>b`) and sites (`a`), by name."""
+        return reservations.resources(self._state)
+
+    def room(self, resource: str, first: int, until: int) -> tuple[int, ...]:
+        """What is free in each slice of `first` up to `until`; below 0 where it is over."""
+        return reservations.room(self._state, resource, first, until)
+
+    def over(self) -> tuple[str, ...]:
+        """Resources that have shrunk below what is reserved: their jobs must be planned anew."""
+        return tuple(one for one in self.resources() if reservations.is_over(self._state, one))
 
     # All of it, as it goes from one keeper to another
 
@@ -220,7 +247,7 @@
                 [list(budget) for budget in s.budgets.values()],
                 [list(s.leaving[name]) for name in sorted(s.leaving)],
                 [_scope(name, s.scopes[name]) for name in sorted(s.scopes)],
-                workflows.plain(s.flows)]
+                workflows.plain(s.flows), reservations.plain(s)]
 
     def snapshot(self) -> bytes:
         """`plain` as JSON without blanks; the rest is written once, not a second time for its hash."""
@@ -276,7 +303,8 @@
 
 def _read(plain: list) -> State:
     state = State()
-    _, state.index, state.time, state.last, live, past, defined, leaving, scopes, flows, _ = plain
+    _, state.index, state.time, state.last, live, past, defined, leaving, scopes, flows, moves, _ = plain
+    reservations.read(state, moves)
     for fence, site, mark, opened, forgotten, dones in live:
         session = Session(Fence(*fence), site, mark, opened)
         session.forgotten = forgotten
