--- a/laurelcourse/fleet/orders.py
+++ b/laurelcourse/fleet/orders.py
@@ -36,6 +36,7 @@
 
     fence: Fence
     demands: tuple[tuple[str, int], ...] = ()
+    asked_at: int = 0            # by the relay's own clock; its session gets it back with the answer; not sent
 
 
 class Share(NamedTuple):
@@ -85,3 +86,4 @@
     """Commands of one session (or one `Open`), in the order of their marks."""
 
     commands: tuple[Command, ...]
+    asked_at: int = 0            # as in Beat; not sent
