--- a/laurelcourse/lab/keepers.py
+++ b/laurelcourse/lab/keepers.py
@@ -96,7 +96,9 @@
 def judged(seed: int, kind: str, world: World, relays: Relays, seen: Seen, faults: Faults) -> Ran:
     leader = world.leader()
     last = leader or max(world.keepers.values(), key=lambda keeper: (keeper.applied, keeper.name))
-    left = [last.disk.archive[index] for index in sorted(last.disk.archive) if index <= last.applied]
+    # An entry that came and was covered by a snapshot in one write never lay on that disk by itself.
+    whole = {index: entry for index, (entry, _) in world.ledger.first.items()} | last.disk.archive
+    left = [whole[index] for index in sorted(whole) if index <= last.applied]
     if leader is not None:
         seen.finish(world.now, left)
     breaches = [*world.ledger.breaches, *seen.breaches, *replayed(world, left)]
--- a/laurelcourse/lab/keepers_relays.py
+++ b/laurelcourse/lab/keepers_relays.py
@@ -11,7 +11,8 @@
 from laurelcourse.lab.keepers_world import SPIN, Clock, Node, World
 
 HOPS = 3             # a call follows the leader that it is told so often
-DEMAND = 70
+DEMAND = 70          # of a budget, told with a Beat, less than this
+LOOKS = 3            # a look at the books in so many turns of a relay, where it is busy
 OWN, LOOK = -1, -2   # calls that are no order of the session
 
 
@@ -113,7 +114,7 @@
                 self._call(relay, "submit", order, order.asked_at)
         if self.busy:
             self._come_down(relay, now)
-            if self.chance.below(8) == 0:
+            if self.chance.below(LOOKS) == 0:
                 self._look(relay)
         if session.state != ENDED:
             due = max(relay.clock.true(session.due()), self.world.now + SPIN)
@@ -145,7 +146,7 @@
     def _look(self, relay: RelayNode) -> None:
         """At any keeper, for one that is cut off must not answer."""
         names = sorted(self.relays)
-        question = Question("hash") if self.chance.below(3) == 0 else Question(
+        question = Question("hash") if self.chance.below(2) else Question(
             "session", names[self.chance.below(len(names))])
         keepers = sorted(self.world.keepers)
         self._call(relay, "ask", question, LOOK, target=keepers[self.chance.below(len(keepers))])
@@ -160,8 +161,8 @@
             keepers = sorted(self.world.keepers)
             relay.target = keepers[self.chance.below(len(keepers))]
         self._send(relay, self.count, call, target or relay.target)
-        self.world.at(self.world.now + self.world.terms.beat, self.world.post, relay.name, relay.life,
-                      "late", self.count)
+        patience = self.world.terms.lease if kind == "ask" else self.world.terms.beat
+        self.world.at(self.world.now + patience, self.world.post, relay.name, relay.life, "late", self.count)
 
     def _send(self, relay: RelayNode, number: int, call: Call, target: str) -> None:
         world = self.world
--- a/laurelcourse/lab/keepers_script.py
+++ b/laurelcourse/lab/keepers_script.py
@@ -18,6 +18,7 @@
     "disks": ("copy", "older", "older", "wiped", "kill", "slow", "weather", "doom", "cut"),
     "keepers": ("change", "change", "change", "kill_leader", "cut", "isolate_leader", "weather", "doom", "pause",
                 "heal"),
+    "pauses": ("pause_leader", "pause_leader", "pause_leader", "pause", "relay_kill", "relay_close"),
     "relays": ("relay_kill", "relay_pause", "relay_pause", "relay_close", "relay_cut", "pause_leader", "heal",
                "kill_leader", "weather"),
     "all": ("cut", "cut_one", "isolate_leader", "partition", "weather", "heal", "kill", "kill_leader", "doom",
@@ -262,6 +263,8 @@
     def mend_all(self) -> None:
         """The end of the faults: what comes after shows whether the keepers find together again."""
         self.heal(Chance(0))
+        for name in sorted(self.world.nodes):
+            self.world.resume(self.world.nodes[name], self.world.nodes[name].life)
         for name in sorted(self.world.keepers):
             keeper = self.world.keepers[name]
             keeper.doom = keeper.slow = 0
--- a/laurelcourse/lab/keepers_world.py
+++ b/laurelcourse/lab/keepers_world.py
@@ -215,16 +215,24 @@
         if node.up and not node.paused:
             self.say(f"{node.name} is paused for {lasts // 1000} ms")
             node.paused = True
-            self.at(self.now + lasts, self._resume, node, node.life)
+            self.at(self.now + lasts, self.resume, node, node.life)
 
-    def _resume(self, node: Node, life: int) -> None:
+    def resume(self, node: Node, life: int) -> None:
         if node.life == life and node.paused:
             self.say(f"{node.name} wakes, {len(node.jobs)} things wait")
             node.paused = False
-            # Woken by its backlog or by its timer first, both happen.
-            node.jobs.insert(0 if self.chance.below(2) else len(node.jobs), ("tick",))
+            node.jobs.append(("tick",))
+            self._mix(node.jobs)
             self.work(node)
 
+    def _mix(self, jobs: deque[tuple]) -> None:
+        """A backlog came by many connections, and the timer is one more: which is read first is chance. What
+        was under way as the process was paused goes on first."""
+        first = 1 if jobs[0][0] == "rest" else 0
+        for place in range(len(jobs) - 1, first, -1):
+            other = first + self.chance.below(place - first + 1)
+            jobs[place], jobs[other] = jobs[other], jobs[place]
+
     def post(self, name: str, life: int, *job: Any) -> None:  # noqa: ANN401
         """A job for a process; `life` 0 for whichever life it is in."""
         node = self.nodes[name]
