--- a/laurelcourse/fleet/calls/codec.py
+++ b/laurelcourse/fleet/calls/codec.py
@@ -38,6 +38,7 @@
         "hello": keeper.Hello, "known": keeper.Known}
 WHAT = {"open": books.Open, "close": books.Close, "lapse": books.Lapse, "define": books.Define,
         "grant": books.Grant, "give_back": books.GiveBack}
+OWN = {orders.Beat: ("asked_at",), orders.Submit: ("asked_at",)}  # for the asker alone: not sent
 FORMS = (keeper.Entry, keeper.Snapshot, keeper.Mark, *TALK.values(), books.Fence, *WHAT.values(),
          books.Budget, books.Command, books.Batch, books.Done, orders.Submit, orders.Beat, orders.Share,
          orders.Renewed, orders.Question)
@@ -219,6 +220,7 @@
 
 def _layout(form: type, message: type[Message]) -> Layout:
     hints, fields = get_type_hints(form), message.DESCRIPTOR.fields_by_name
+    hints = {name: hint for name, hint in hints.items() if name not in OWN.get(form, ())}
     if set(hints) != set(fields):
         raise TypeError(f"{form.__name__} and its message differ: {sorted(set(hints) ^ set(fields))}")
     rows = []
@@ -231,21 +233,21 @@
 
 def _write(form: object) -> Message:
     layout = LAYOUTS[type(form)]
-    fields = zip(layout.fields, form, strict=True)
-    return layout.message(**{name: to(value) for (name, to, _, _, spare), value in fields
+    fields = [(name, to, spare, getattr(form, name)) for name, to, _, _, spare in layout.fields]
+    return layout.message(**{name: to(value) for name, to, spare, value in fields
                              if not (spare and value is None)})
 
 
 def _read(form: type, message: Message) -> object:
-    values = []
+    values = {}
     for name, _, of, single, spare in LAYOUTS[form].fields:
         if single and not message.HasField(name):
             if not spare:
                 raise unreadable(form.__name__, f"no {name}")
-            values.append(None)
+            values[name] = None
         else:
-            values.append(of(getattr(message, name)))
-    return form(*values)
+            values[name] = of(getattr(message, name))
+    return form(**values)
 
 
 LAYOUTS: dict[type, Layout] = {}
