--- a/laurelcourse/lab/keepers.py
+++ b/laurelcourse/lab/keepers.py
@@ -39,8 +39,9 @@
            Budget("tries", RATE, 100, 2, 8, 0, 0))
 BOUNDS = Bounds(beat=40_000, patience=200_000, batch=4_000, ahead=4, piece=2_000, waiting=200)
 TRACED = 3                     # broken runs whose trace is printed
-SETTLES = 3_000_000            # after the last fault, true microseconds
+LASTS, SETTLES = 4_000_000, 2_000_000  # of a run's faults, and after the last one, true microseconds
 CHUNK = 6                      # runs that a worker makes before it tells
+ENDS = 2.0                     # what is under way as the time ends takes so long, seconds
 
 
 class Ran(NamedTuple):
@@ -64,8 +65,8 @@
                  keepers=keepers, budgets=BUDGETS, snapshot_every=30)
 
 
-def one(seed: int, kind: str = "", lasts: int = 4_000_000) -> Ran:
-    """A run: faults for `lasts` microseconds, then `SETTLES` without any."""
+def one(seed: int, kind: str = "", lasts: int = LASTS, settles: int = SETTLES) -> Ran:
+    """A run: faults for `lasts` microseconds, then `settles` without any, after which somebody must lead."""
     chance = Chance(seed * 104729 + 3)
     kinds = sorted(KINDS)
     kind = kind or kinds[seed % len(kinds)]
@@ -89,7 +90,7 @@
     for fault in script(seed, kind, lasts):
         world.at(fault.at, faults.befall, fault)
     world.at(lasts, faults.mend_all)
-    world.run(lasts + SETTLES)
+    world.run(lasts + settles)
     return judged(seed, kind, world, relays, seen, faults)
 
 
@@ -126,13 +127,13 @@
     return found
 
 
-def several(first: int, many: int, broken: str, lasts: int) -> list[Ran]:
+def several(first: int, many: int, broken: str) -> list[Ran]:
     """What a worker process does. The guard is out while it does so."""
     with keepers_guards.out(broken):
-        return [one(seed, "", lasts) for seed in range(first, first + many)]
+        return [one(seed) for seed in range(first, first + many)]
 
 
-def rounds(seed: int, until: float, broken: str, lasts: int) -> Iterator[Ran]:
+def rounds(seed: int, until: float, broken: str) -> Iterator[Ran]:
     """Runs on all cores until the time is over, in the order of their seeds."""
     cores = os.cpu_count() or 1
     first, at = seed * 1_000_000, 0
@@ -142,7 +143,7 @@
         told = 0
         while under or time.monotonic() < until:
             while len(under) < 2 * cores and time.monotonic() < until:
-                under[at] = pool.submit(several, first + at * CHUNK, CHUNK, broken, lasts)
+                under[at] = pool.submit(several, first + at * CHUNK, CHUNK, broken)
                 at += 1
             wait(under.values(), timeout=1.0, return_when=FIRST_COMPLETED)
             for place in [place for place, future in under.items() if future.done()]:
@@ -152,18 +153,20 @@
                 told += 1
 
 
-def run(seed: int, seconds: float, broken: str, progress: Progress, lasts: int = 4_000_000) -> Report:
-    """`seconds` of real time, of which a part goes to the figures by number of relays."""
+def run(seed: int, seconds: float = SECONDS, broken: str = "", progress: Progress | None = None,
+        scales: tuple[int, ...] = keepers_scale.RELAYS) -> Report:
+    """`seconds` of real time, of which a part goes to the figures by number of relays. With a guard taken out
+    (`keepers_guards`) there are only runs."""
+    progress = progress or Progress()
     began = time.monotonic()
     figures: dict[str, float] = {}
-    if not broken:
-        for relays in keepers_scale.RELAYS:
-            figures |= keepers_scale.figures(seed, relays)
-            progress.say(f"{relays} relays: {figures[f'bytes_a_relay_a_second_{relays}']} bytes a second each")
+    for relays in () if broken else scales:
+        figures |= keepers_scale.figures(seed, relays)
+        progress.say(f"{relays} relays: {figures[f'bytes_a_relay_a_second_{relays}']} bytes a second each")
     ran: list[Ran] = []
     shown = 0
     # What is under way as the time ends is waited for.
-    for found in rounds(seed, began + seconds - 2.0, broken, lasts):
+    for found in rounds(seed, began + seconds - ENDS, broken):
         ran.append(found)
         if len(ran) % 250 == 0:
             progress.say(f"{len(ran)} runs, {sum(len(one.breaches) for one in ran)} breaches")
--- /dev/null
+++ b/tests/test_fleet_sim.py
@@ -0,0 +1,100 @@
+"""The keepers' simulation: its checkers by table, many short runs with faults, and each check without its guard."""
+
+import os
+import subprocess
+import sys
+
+import pytest
+from conftest import ROOT
+
+from laurelcourse.fleet.books.forms import RATE, Budget
+from laurelcourse.lab import keepers, keepers_guards
+from laurelcourse.lab.checks.linearizability import NEVER, Op, linearizable, session_step, stale
+from laurelcourse.lab.checks.logs import lost
+from laurelcourse.lab.checks.shares import Holding, over_whole
+from laurelcourse.lab.keepers_script import KINDS
+
+SHORT, SETTLES = 1_500_000, 1_300_000
+
+
+def op(began: int, ended: int, what: str, *told: int) -> Op:
+    return Op(began, ended, what, told)
+
+
+@pytest.mark.parametrize(("history", "fits"), [
+    ([op(1, 2, "open", 3), op(3, 4, "look", 3)], True),
+    ([op(1, 2, "open", 3), op(3, 4, "look", 0)], True),                           # it lapsed
+    ([op(1, 2, "open", 3), op(3, 4, "look", 0), op(5, 6, "look", 3)], False),     # and came back
+    ([op(1, 2, "open", 3), op(3, 6, "look", 0), op(4, 5, "look", 3)], True),      # at one time: either first
+    ([op(1, 2, "open", 3), op(3, 4, "open", 5), op(5, 6, "look", 3)], False),     # read from before
+    ([op(3, 4, "open", 3), op(1, 2, "look", 3)], False),                          # read before it was
+    ([op(1, 2, "open", 5), op(3, 4, "open", 3)], False),                          # numbers only grow
+    ([op(1, 2, "open", 3), op(3, 4, "taken", 3), op(5, 6, "open", 4)], True),
+    ([op(1, 2, "taken", 3)], False),                                              # by nobody
+    ([op(1, NEVER, "open", 3), op(5, 6, "look", 3)], True),                       # unanswered, and done
+    ([op(1, NEVER, "open", 3), op(5, 6, "look", 0)], True),                       # or not
+    ([op(1, 2, "open", 3), op(3, 4, "close", 3), op(5, 6, "look", 3)], False),
+    ([op(1, 2, "open", 3), op(3, NEVER, "close", 3), op(5, 6, "look", 3)], True),
+])
+def test_histories_of_a_name(history: list[Op], fits: bool) -> None:
+    assert linearizable(history, (0, False), session_step) is fits
+
+
+def test_a_search_that_is_too_long_settles_nothing() -> None:
+    many = [op(1, 100, "open", number) for number in range(1, 30)] + [op(101, 102, "look", 99)]
+    assert linearizable(many, (0, False), session_step, most=50) is None
+
+
+@pytest.mark.parametrize(("looks", "found"), [
+    ([(1, 2, 5), (3, 4, 5), (5, 6, 9)], 0), ([(1, 2, 5), (3, 4, 4)], 1), ([(1, 4, 5), (3, 6, 4)], 0),
+    ([(1, 2, 5), (3, NEVER, 4)], 0), ([(1, 9, 2), (2, 3, 7), (4, 5, 6), (6, 8, 1)], 2)])
+def test_looks_at_what_only_grows(looks: list[tuple[int, int, int]], found: int) -> None:
+    assert len(stale([op(began, ended, "hash", told) for began, ended, told in looks])) == found
+
+
+def test_sums_of_shares_and_answers_that_are_gone() -> None:
+    budget = Budget("tries", RATE, 100, 2, 10, 0, 0)
+    fits = [Holding("r1", "tries", 50), Holding("r2", "tries", 30), Holding("r1", "other", 99)]
+    assert over_whole([budget], fits) == []
+    assert over_whole([budget], [*fits, Holding("r3", "tries", 1)]) == ["tries: 101 of 100: r1 50, r2 30, r3 1"]
+    assert [one.check for one in lost([(1, "r1", ("x", 1)), (2, "r1", ("x", 2))], {("x", 1)})] == ["committed_lost"]
+
+
+@pytest.mark.parametrize("kind", sorted(KINDS))
+def test_short_runs_hold_and_end_with_a_leader(kind: str) -> None:
+    ran = [keepers.one(seed, kind, SHORT, SETTLES) for seed in range(25)]
+    assert [(one.seed, one.breaches[:2]) for one in ran if one.breaches] == []
+    assert [one.seed for one in ran if one.leaderless] == []
+    assert sum(one.commands for one in ran) > 200 and not any(one.unsettled for one in ran)
+    assert kind != "disks" or any(one.refusals for one in ran)
+
+
+def test_one_seed_is_one_run_whatever_else_differs() -> None:
+    words = "from laurelcourse.lab import keepers; print(keepers.one(5, 'all', 900_000, 500_000).print)"
+    told = {subprocess.run([sys.executable, "-c", words], cwd=ROOT, env={**os.environ, "PYTHONHASHSEED": salt},
+                           capture_output=True, text=True, check=True).stdout.strip() for salt in ("1", "2")}
+    assert told == {keepers.one(5, "all", 900_000, 500_000).print}
+    assert keepers.one(6, "all", 900_000, 500_000).print not in told
+
+
+# by check: a kind of run, and how many seeds of it are tried at most
+WITHOUT = {"two_leaders_in_a_term": ("network", 8), "logs_differ": ("network", 60), "committed_lost": ("network", 4),
+           "states_differ": ("leaders", 2), "not_linearizable": ("pauses", 80), "over_whole": ("keepers", 20),
+           "older_disk_voted": ("disks", 24), "module_faults": ("pauses", 12)}
+
+
+@pytest.mark.parametrize("check", keepers.CHECKS)
+def test_each_check_fails_without_its_guard(check: str) -> None:
+    kind, seeds = WITHOUT[check]
+    with keepers_guards.out(check):
+        found = next((seed for seed in range(seeds)
+                      if any(one.check == check for one in keepers.one(seed, kind, 3_000_000, SETTLES).breaches)), None)
+    assert found is not None
+    assert not keepers.one(found, kind, 3_000_000, SETTLES).breaches
+
+
+def test_the_lab_reports_its_checks_and_figures() -> None:
+    report = keepers.run(3, 4.0, scales=(30,))
+    assert report.holds and {one.name for one in report.checks} == set(keepers.CHECKS) == set(keepers_guards.GUARDS)
+    assert report.figures["runs"] >= 2 and report.figures["steps"] > 0
+    assert report.figures["bytes_a_relay_a_second_30"] < 1024 and report.figures["commands_a_second_30"] > 0
