--- a/laurelcourse/lab/checks/linearizability.py
+++ b/laurelcourse/lab/checks/linearizability.py
@@ -12,7 +12,7 @@
 
 
 class Op(NamedTuple):
-    """`ended` is NEVER where no answer came: it may have been done at any time from `began` on, or not at all.
+    """`ended` is NEVER where no answer came: it may have been done at any time from `began` on, or never.
     Times are true microseconds; `what` and `told` are for the model alone."""
 
     began: int
--- a/laurelcourse/lab/checks/logs.py
+++ b/laurelcourse/lab/checks/logs.py
@@ -1,4 +1,5 @@
-"""What keepers' disks and messages showed, held against each other: who led, what was applied, what is left."""
+"""What keepers' disks and messages showed, held against each other: who led, what was applied, what is
+left."""
 
 from collections.abc import Iterable
 from typing import NamedTuple
@@ -17,7 +18,7 @@
 
 
 class Ledger:
-    """All keepers of one run. Each thing is noted once, when it is first seen; the rest is held against it."""
+    """All keepers of one run. A thing is noted when it is first seen; the rest is held against it."""
 
     __slots__ = ("breaches", "first", "last", "leads", "states")
 
@@ -46,7 +47,8 @@
     def state(self, now: int, keeper: str, index: int, told: str) -> None:
         first, by = self.states.setdefault(index, (told, keeper))
         if first != told:
-            self.breaches.append(Breach("states_differ", now, f"books at {index}: {by} {first}, {keeper} {told}"))
+            self.breaches.append(Breach("states_differ", now,
+                                        f"books at {index}: {by} {first}, {keeper} {told}"))
 
 
 def lost(answered: Iterable[tuple[int, str, tuple]], held: set[tuple]) -> list[Breach]:
--- a/laurelcourse/lab/keepers_relays.py
+++ b/laurelcourse/lab/keepers_relays.py
@@ -1,4 +1,4 @@
-"""Relays in simulated time: the `Session` that real relays run, with calls that may be lost, doubled or late."""
+"""Relays in simulated time: the `Session` that real relays run; calls may be lost, doubled or late."""
 
 from typing import Any
 
@@ -42,7 +42,8 @@
 class Relays:
     """All relays of one run. `busy`: how eagerly they give back, and look at the books."""
 
-    def __init__(self, world: World, seen: Seen, names: tuple[str, ...], sites: int, busy: bool = True) -> None:
+    def __init__(self, world: World, seen: Seen, names: tuple[str, ...], sites: int,
+                 busy: bool = True) -> None:
         self.world, self.seen, self.busy = world, seen, busy
         self.chance = Chance(world.seed * 31 + 7)
         self.relays: dict[str, RelayNode] = {}
--- a/laurelcourse/lab/keepers_script.py
+++ b/laurelcourse/lab/keepers_script.py
@@ -16,8 +16,8 @@
     "crashes": ("kill", "kill_leader", "doom", "doom", "doom_leader", "doom_leader", "kill_all", "slow",
                 "weather", "relay_kill", "hand_over"),
     "disks": ("copy", "older", "older", "wiped", "kill", "slow", "weather", "doom", "cut"),
-    "keepers": ("change", "change", "change", "kill_leader", "cut", "isolate_leader", "weather", "doom", "pause",
-                "heal"),
+    "keepers": ("change", "change", "change", "kill_leader", "cut", "isolate_leader", "weather", "doom",
+                "pause", "heal"),
     "pauses": ("pause_leader", "pause_leader", "pause_leader", "relay_close", "relay_pause"),
     "relays": ("relay_kill", "relay_pause", "relay_pause", "relay_close", "relay_cut", "pause_leader", "heal",
                "kill_leader", "weather"),
@@ -142,7 +142,8 @@
 
     def _pause(self, name: str, chance: Chance) -> None:
         lease = self.world.terms.lease
-        self.world.pause(self.world.nodes[name], (lease // 10, lease * 2)[chance.below(2)] + chance.below(lease))
+        lasts = (lease // 10, lease * 2)[chance.below(2)] + chance.below(lease)
+        self.world.pause(self.world.nodes[name], lasts)
 
     def pause(self, chance: Chance) -> None:
         self._pause(self._keeper(chance).name, chance)
@@ -156,7 +157,7 @@
         self.world.say(f"{keeper.name}'s disk takes {keeper.slow} us more")
 
     def jump(self, chance: Chance) -> None:
-        """Forward, of a keeper that does not lead: nothing is promised of a leader whose clock is that wrong."""
+        """Forward, of a keeper that does not lead: a leader whose clock is that wrong promises nothing."""
         keeper = self._keeper(chance)
         if keeper is not self.world.leader() and not keeper.paused:
             self.world.say(f"{keeper.name}'s clock jumps")
