--- a/laurelcourse/lab/keepers.py
+++ b/laurelcourse/lab/keepers.py
@@ -1,5 +1,5 @@
 """`lab keepers --core`: keepers' desks, their books and relays' sessions in simulated time, thousands of runs
-from one seed, with all faults at the seam. No process of a keeper, no socket, no file; same seed, same run."""
+from one seed, with all faults at the seam. No keeper's process, no socket, no file; same seed, same run."""
 
 import multiprocessing
 import os
