--- a/tests/test_fleet_sim.py
+++ b/tests/test_fleet_sim.py
@@ -73,8 +73,8 @@
 
 def test_one_seed_is_one_run_whatever_else_differs() -> None:
     words = "from laurelcourse.lab import keepers; print(keepers.one(5, 'all', 900_000, 500_000).print)"
-    told = {subprocess.run([sys.executable, "-c", words], cwd=ROOT, capture_output=True, text=True, check=True,
-                           env={**os.environ, "PYTHONHASHSEED": salt}).stdout.strip()
+    told = {subprocess.run([sys.executable, "-c", words], cwd=ROOT, capture_output=True, text=True,
+                           check=True, env={**os.environ, "PYTHONHASHSEED": salt}).stdout.strip()
             for salt in ("1", "2")}
     assert told == {keepers.one(5, "all", 900_000, 500_000).print}
     assert keepers.one(6, "all", 900_000, 500_000).print not in told
