--- a/laurelcourse/lab/keepers.py
+++ b/laurelcourse/lab/keepers.py
@@ -37,7 +37,7 @@
 }
 BUDGETS = (Budget("conns", LEVEL, 60, 1, 8, 0, 500_000), Budget("opens", COUNT, 50, 0, 8, 400_000, 0),
            Budget("tries", RATE, 100, 2, 8, 0, 0))
-BOUNDS = Bounds(beat=40_000, patience=200_000, batch=4_000, ahead=4, piece=2_000, waiting=200)
+BOUNDS = Bounds(beat=40_000, patience=200_000, batch=2_000, ahead=4, piece=500, waiting=200)
 TRACED = 3                     # broken runs whose trace is printed
 LASTS, SETTLES = 4_000_000, 2_000_000  # of a run's faults, and after the last one, true microseconds
 CHUNK = 6                      # runs that a worker makes before it tells
