--- a/laurelcourse/lab/checks/logs.py
+++ b/laurelcourse/lab/checks/logs.py
@@ -20,10 +20,11 @@
 class Ledger:
     """All keepers of one run. A thing is noted when it is first seen; the rest is held against it."""
 
-    __slots__ = ("breaches", "first", "last", "leads", "states")
+    __slots__ = ("breaches", "first", "last", "leads", "states", "twice")
 
     def __init__(self) -> None:
         self.leads: dict[int, str] = {}               # by term
+        self.twice: set[int] = set()                  # terms that two have led
         self.first: dict[int, tuple[Entry, str]] = {}  # by index, and the keeper that applied it first
         self.states: dict[int, tuple[str, str]] = {}  # hash of the books by index, and the keeper
         self.breaches: list[Breach] = []
@@ -32,7 +33,8 @@
     def sent(self, now: int, sender: str, message: Message) -> None:
         if isinstance(message, LEADS):
             first = self.leads.setdefault(message.term, sender)
-            if first != sender:
+            if first != sender and message.term not in self.twice:
+                self.twice.add(message.term)
                 self.breaches.append(Breach("two_leaders_in_a_term", now,
                                             f"{first} and {sender} lead term {message.term}"))
 
