--- a/laurelcourse/fleet/calls/codec.py
+++ b/laurelcourse/fleet/calls/codec.py
@@ -38,7 +38,6 @@
         "hello": keeper.Hello, "known": keeper.Known}
 WHAT = {"open": books.Open, "close": books.Close, "lapse": books.Lapse, "define": books.Define,
         "grant": books.Grant, "give_back": books.GiveBack}
-OWN = {orders.Beat: ("asked_at",), orders.Submit: ("asked_at",)}  # for the asker alone: not sent
 FORMS = (keeper.Entry, keeper.Snapshot, keeper.Mark, *TALK.values(), books.Fence, *WHAT.values(),
          books.Budget, books.Command, books.Batch, books.Done, orders.Submit, orders.Beat, orders.Share,
          orders.Renewed, orders.Question)
@@ -211,6 +210,9 @@
     return _form(hint, where)
 
 
+OWN = {(orders.Beat, "asked_at"), (orders.Submit, "asked_at")}  # the asker's alone: they are not sent
+
+
 class Layout(NamedTuple):
     """Of each field: its name, how it is written, how it is read, is it a message, may it be absent."""
 
@@ -220,7 +222,7 @@
 
 def _layout(form: type, message: type[Message]) -> Layout:
     hints, fields = get_type_hints(form), message.DESCRIPTOR.fields_by_name
-    hints = {name: hint for name, hint in hints.items() if name not in OWN.get(form, ())}
+    hints = {name: hint for name, hint in hints.items() if (form, name) not in OWN}
     if set(hints) != set(fields):
         raise TypeError(f"{form.__name__} and its message differ: {sorted(set(hints) ^ set(fields))}")
     rows = []
@@ -233,7 +235,7 @@
 
 def _write(form: object) -> Message:
     layout = LAYOUTS[type(form)]
-    fields = [(name, to, spare, getattr(form, name)) for name, to, _, _, spare in layout.fields]
+    fields = ((name, to, spare, getattr(form, name)) for name, to, _, _, spare in layout.fields)
     return layout.message(**{name: to(value) for name, to, spare, value in fields
                              if not (spare and value is None)})
 
--- a/laurelcourse/net/assembly.py
+++ b/laurelcourse/net/assembly.py
@@ -23,12 +23,15 @@
 
 
 class Host(NamedTuple):
-    """The process that fronts are made for; `closing` is called at its end."""
+    """The process that fronts and a fleet's part are made for: `works` are loops that it keeps running,
+    `closing` is called at its end, once the scheduler has stopped."""
 
     scheduler: Scheduler
     config: Config
     counters: Counters
     closing: list[Callable[[], None]]
+    works: list[Callable[[], None]]
+    main: "Assembly"
 
 
 class Front(Protocol):
@@ -67,6 +70,11 @@
         for verb in (face.VOTE, face.TELL, face.WATCH):
             self.choices.on(verb, lambda *_: None)
 
+    def heed(self, shares: face.Shares) -> None:
+        """The fleet's budgets bind this front from now on."""
+        self.choices.heed(shares)
+        self.pool.shares = shares
+
     def follow(self, directory: Directory) -> None:
         self.directory = directory
         self.choices.on(face.WATCH, directory.watch)
