--- a/laurelcourse/lab/keepers.py
+++ b/laurelcourse/lab/keepers.py
@@ -135,45 +135,45 @@
         return [one(seed) for seed in range(first, first + many)]
 
 
-def rounds(seed: int, until: float, broken: str, cores: int) -> Iterator[Ran]:
+def rounds(pool: ProcessPoolExecutor, seed: int, until: float, broken: str, cores: int) -> Iterator[Ran]:
     """Runs on so many cores until the time is over, in the order of their seeds."""
-    first, at = seed * 1_000_000, 0
-    with ProcessPoolExecutor(cores, multiprocessing.get_context("spawn")) as pool:
-        under: dict[int, Future] = {}
-        done: dict[int, list[Ran]] = {}
-        told = 0
-        while under or time.monotonic() < until:
-            while len(under) < 2 * cores and time.monotonic() < until:
-                under[at] = pool.submit(several, first + at * CHUNK, CHUNK, broken)
-                at += 1
-            wait(under.values(), timeout=1.0, return_when=FIRST_COMPLETED)
-            for place in [place for place, future in under.items() if future.done()]:
-                done[place] = under.pop(place).result()
-            while told in done:
-                yield from done.pop(told)
-                told += 1
+    first, at, told = seed * 1_000_000, 0, 0
+    under: dict[int, Future] = {}
+    done: dict[int, list[Ran]] = {}
+    while under or time.monotonic() < until:
+        while len(under) < 2 * cores and time.monotonic() < until:
+            under[at] = pool.submit(several, first + at * CHUNK, CHUNK, broken)
+            at += 1
+        wait(under.values(), timeout=1.0, return_when=FIRST_COMPLETED)
+        for place in [place for place, future in under.items() if future.done()]:
+            done[place] = under.pop(place).result()
+        while told in done:
+            yield from done.pop(told)
+            told += 1
 
 
 def run(seed: int, seconds: float = SECONDS, broken: str = "", progress: Progress | None = None,
         scales: tuple[int, ...] = keepers_scale.RELAYS, cores: int = 0) -> Report:
-    """`seconds` of real time, of which a part goes to the figures by number of relays. With a guard taken out
-    (`keepers_guards`) there are only runs."""
+    """`seconds` of real time, beside the runs a worker makes the figures by number of relays. With a guard
+    taken out (`keepers_guards`) there are only runs."""
     progress = progress or Progress()
-    began = time.monotonic()
-    figures: dict[str, float] = {}
-    for relays in () if broken else scales:
-        figures |= keepers_scale.figures(seed, relays)
-        progress.say(f"{relays} relays: {figures[f'bytes_a_relay_a_second_{relays}']} bytes a second each")
+    began, cores = time.monotonic(), cores or os.cpu_count() or 1
     ran: list[Ran] = []
     shown = 0
-    # What is under way as the time ends is waited for.
-    for found in rounds(seed, began + seconds - ENDS, broken, cores or os.cpu_count() or 1):
-        ran.append(found)
-        if len(ran) % 250 == 0:
-            progress.say(f"{len(ran)} runs, {sum(len(one.breaches) for one in ran)} breaches")
-        if found.breaches and shown < TRACED:
-            shown += 1
-            show(found)
+    with ProcessPoolExecutor(cores, multiprocessing.get_context("spawn")) as pool:
+        scaled = [pool.submit(keepers_scale.figures, seed, relays) for relays in (() if broken else scales)]
+        # What is under way as the time ends is waited for.
+        for found in rounds(pool, seed, began + seconds - ENDS, broken, cores):
+            ran.append(found)
+            if len(ran) % 250 == 0:
+                progress.say(f"{len(ran)} runs, {sum(len(one.breaches) for one in ran)} breaches")
+            if found.breaches and shown < TRACED:
+                shown += 1
+                show(found)
+        figures: dict[str, float] = {}
+        for future in scaled:
+            figures |= future.result()
+    progress.say(f"{len(ran)} runs in all")
     return report(seed, time.monotonic() - began, ran, figures)
 
 
--- a/laurelcourse/lab/keepers_scale.py
+++ b/laurelcourse/lab/keepers_scale.py
@@ -38,15 +38,15 @@
 
 
 class Metered(World):
-    """Adds up the real time that a leader's desk takes, seconds."""
+    """Adds up the CPU time that a leader's desk takes, seconds, with what carries its acts out here."""
 
     spent = 0.0
 
     def work(self, node: Any) -> None:  # noqa: ANN401
-        began = time.perf_counter()
+        began = time.process_time()
         super().work(node)
         if isinstance(node, KeeperNode) and node is self.ahead:
-            self.spent += time.perf_counter() - began
+            self.spent += time.process_time() - began
 
     ahead: KeeperNode | None = None
 
