--- a/laurelcourse/cli.py
+++ b/laurelcourse/cli.py
@@ -98,16 +98,18 @@
 
 
 @main.command()
-@click.argument("name", type=click.Choice(["relay", "tuf"]))
+@click.argument("name", type=click.Choice(["keepers", "relay", "tuf"]))
 @click.option("--seed", default=1, show_default=True, help="Same seed, same script of faults.")
 @click.option("--seconds", type=click.FloatRange(5, 600), help="How long it may take, about.")
 @click.option("--json", "as_json", is_flag=True, help="One JSON object on standard output.")
 @click.option("--break", "broken", default="", metavar="GUARD", help="Take a guard out: its check must fail.")
 @click.option("--calm", is_flag=True, help="Without faults, where a lab has them.")
-def lab(name: str, seed: int, seconds: float | None, as_json: bool, broken: str, calm: bool) -> None:
+@click.option("--core", is_flag=True, help="Pure modules in simulated time (keepers); no process is started.")
+def lab(name: str, seed: int, seconds: float | None, as_json: bool, broken: str, calm: bool,
+        core: bool) -> None:
     """Run an experiment on loopback: relays among stand-ins, faults by seed, checks, a report."""
     from laurelcourse.lab import command
-    command.run(name, seed, seconds, as_json, broken, calm)
+    command.run(name, seed, seconds, as_json, broken, calm, core)
 
 
 @main.command()
--- a/laurelcourse/lab/command.py
+++ b/laurelcourse/lab/command.py
@@ -19,14 +19,32 @@
     return tuf.run, 50.0
 
 
-LABS = {"relay": _relay, "tuf": _tuf}
-CALM = frozenset(("tuf",))  # labs that can do without faults
+def _keepers() -> tuple[Callable[..., Report], float]:
+    from laurelcourse.lab import keepers
+    return keepers.run, keepers.SECONDS
 
 
-def run(name: str, seed: int, seconds: float | None, as_json: bool, broken: str, calm: bool) -> None:
+LABS = {"keepers": _keepers, "relay": _relay, "tuf": _tuf}
+CALM = frozenset(("tuf",))      # labs that can do without faults
+CORE = frozenset(("keepers",))  # labs of pure modules in simulated time
+
+
+def guards(name: str) -> tuple[str, ...]:
+    """Names of the guards that can be taken out in this lab."""
+    if name in CORE:
+        # In simulated time the guard goes out of the lab's own processes: no relay is started.
+        from laurelcourse.lab import keepers_guards
+        return tuple(keepers_guards.GUARDS)
     from laurelcourse.lab.guards import GUARDS
-    if broken and broken not in GUARDS.get(name, {}):
-        raise click.UsageError(f"--break takes one of: {', '.join(GUARDS.get(name, {}))}")
+    return tuple(GUARDS.get(name, ()))
+
+
+def run(name: str, seed: int, seconds: float | None, as_json: bool, broken: str, calm: bool,
+        core: bool) -> None:
+    if broken and broken not in guards(name):
+        raise click.UsageError(f"--break takes one of: {', '.join(guards(name))}")
+    if core != (name in CORE):
+        raise click.UsageError(f"--core goes with: {', '.join(CORE)}")
     if calm and name not in CALM:
         raise click.UsageError(f"--calm is for: {', '.join(CALM)}")
     lab, usual = LABS[name]()
