--- /dev/null
+++ b/tests/test_fleet_errors.py
@@ -0,0 +1,157 @@
+"""Every error of the fleet: its sentences, its way between processes, its row for the people on call; and bad
+input of each kind at a keeper that goes on."""
+
+import re
+import string
+from collections.abc import Iterator
+from pathlib import Path
+
+import grpc
+import pytest
+
+from laurelcourse.chance import Chance
+from laurelcourse.fleet import errors, orders
+from laurelcourse.fleet.books.forms import Command, Done, Fence, GiveBack, Lapse, Open
+from laurelcourse.fleet.calls import codec, fleet_pb2_grpc
+from laurelcourse.fleet.calls import fleet_pb2 as wire
+from laurelcourse.fleet.calls.service import Service, refusal
+from laurelcourse.fleet.calls.ways import limits
+from laurelcourse.fleet.errors import CODES, FleetError
+from laurelcourse.fleet.keeper.desk import Desk
+from laurelcourse.fleet.keeper.forms import Bounds, Keepers
+from laurelcourse.fleet.keeper.keeping import Keeping, kept_in
+from laurelcourse.fleet.orders import Terms
+from laurelcourse.fleet.wiring import clock, log
+from laurelcourse.standins.base import until
+
+DOC = Path(__file__).parent.parent / "docs" / "on-call-fleet.md"
+SECOND = 1_000_000
+WORDS = {"leader", "fault", "fleet", "keeper", "theirs", "ours", "of", "state", "order", "resource", "kind"}
+TERMS = Terms("agenda", SECOND, 1000, SECOND // 10, 9, Bounds(SECOND // 20, SECOND // 5, 1 << 14, 4, 1 << 14,
+                                                                 64), Keepers(("k1",)), (), 99)
+
+
+def figures(kind: type[FleetError]) -> dict[str, int | str]:
+    """Something for each figure that the two sentences name."""
+    names = [name for _, name, _, _ in string.Formatter().parse(kind.what) if name]
+    return {name: f"a {name}" if name in WORDS else 7 + place for place, name in enumerate(names)}
+
+
+def rows() -> dict[str, tuple[str, str]]:
+    """Of the page's table of errors: what happened and what to do, by code."""
+    table = DOC.read_text().partition("## All errors")[2].partition("\n## ")[0]
+    found = re.findall(r"^\| `(\w+)` \| (.+?) \| (.+?) \|(?: .*\|)?$", table, re.M)
+    assert len(found) == len({code for code, _, _ in found}), "a code has two rows"
+    return {code: (what, do) for code, what, do in found}
+
+
+def test_the_page_has_the_same_sentences_for_each_code_and_no_code_more() -> None:
+    assert rows() == {code: (kind.what, kind.do) for code, kind in CODES.items()}
+
+
+def test_each_type_has_a_code_of_its_own() -> None:
+    assert len(CODES) == len(FleetError.__subclasses__()) and "" not in CODES
+
+
+@pytest.mark.parametrize("kind", CODES.values(), ids=CODES)
+def test_an_error_says_what_happened_to_what_and_what_to_do(kind: type[FleetError]) -> None:
+    told = figures(kind)
+    error = kind("relay-7", **told)
+    text, said = str(error), kind.what.format(**told)
+    assert text == f"relay-7: {said}; {kind.do}"
+    assert all(str(value) in said for value in told.values()) and kind.do and "{" not in kind.do + said
+    assert error.fields() == {"fault": kind.code, "to": "relay-7", "what": said, "do": kind.do}
+    # To another process and back.
+    message = codec.message_of(refusal(error))
+    done = codec.form_of(orders.Answer, wire.Answer.FromString(message.SerializeToString()))
+    back = errors.made(done.code, done.to, dict(done.told))
+    assert type(back) is kind and str(back) == text and back.told == told and back.again == kind.again
+    # With a figure missing it is unreadable, and never a fault of whoever hears it.
+    if told:
+        assert isinstance(errors.made(kind.code, "relay-7", {}), errors.UnreadableError)
+
+
+def test_a_code_of_another_version_is_told_as_unreadable() -> None:
+    error = errors.made("of_next_year", "relay-7", {"x": 1})
+    assert isinstance(error, errors.UnreadableError) and "of_next_year" in str(error)
+
+
+class Running:
+    def __init__(self, folder: Path) -> None:
+        def desk(kept: object) -> Desk:
+            return Desk("k1", "a", TERMS, Chance(1), kept, clock(),
+                        encode=codec.packed, decode=codec.unpacked)
+        self.limits = limits(TERMS)
+        self.keeping = kept_in(folder, "agenda", "k1", 1, desk, lambda to, message: None, clock, log)
+        assert isinstance(self.keeping, Keeping)
+        self.service = Service(self.keeping, "agenda", "k1", "127.0.0.1:0", self.limits)
+        self.service.start()
+        self.channel = grpc.insecure_channel(f"127.0.0.1:{self.service.port}")
+
+    def ask(self, verb: str, order: object, **head: object) -> Done | tuple:
+        request = {"Submit": wire.SubmitOrder, "Ask": wire.AskOrder, "Change": wire.ChangeOrder}[verb](
+            head=codec.head("agenda", "m1", "k1"), what=codec.message_of(order))
+        for name, value in head.items():
+            setattr(request.head, name, value)
+        reply = getattr(fleet_pb2_grpc.BooksStub(self.channel), verb)(request, timeout=5)
+        return codec.form_of(orders.Answer, reply.answer)
+
+    def hash(self) -> tuple:
+        return until(lambda: self.ask("Ask", orders.Question("hash")).value)
+
+
+@pytest.fixture(scope="module")
+def keeper(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Running]:
+    running = Running(tmp_path_factory.mktemp("books") / "k1")
+    running.hash()
+    yield running
+    running.channel.close()
+    running.keeping.stop(SECOND)
+    running.service.stop(SECOND)
+
+
+ASK = orders.Question("hash")
+
+
+@pytest.mark.parametrize("verb, order, head, code", [
+    ("Ask", ASK, {"fleet": "other"}, "other_fleet"), ("Ask", ASK, {"version": 99}, "other_version"),
+    ("Ask", ASK, {"version": 0}, "other_version"), ("Ask", ASK, {"to": "k2"}, "unreadable"),
+    ("Ask", ASK, {"sender": ""}, "unreadable"), ("Ask", ASK, {"sender": "x" * 5000}, "too_large"),
+    ("Ask", orders.Question("everything"), {}, "unknown_command"),
+    ("Ask", orders.Question("budget", "none"), {}, "no_such_budget"),
+    ("Submit", orders.Submit((Command(None, 5, Lapse(1)),)), {}, "out_of_order"),
+    ("Submit", orders.Submit((Command(Fence("m1", 9, 1, 0), 5, GiveBack("x", 0)),)), {}, "lapsed_lease"),
+    ("Submit", orders.Submit((Command(None, 5, Open("m" * 4000, "a")),) * 5), {}, "too_large"),
+    ("Change", Keepers(("k1", "k2", "k3")), {}, "unfit_change"), ("Change", Keepers(()), {}, "unfit_change"),
+    ("Change", Keepers(("k;1",)), {}, "unfit_change")])
+def test_bad_orders_are_refused_by_type_and_the_books_stay_whole(
+        keeper: Running, verb: str, order: object, head: dict, code: str) -> None:
+    before = keeper.hash()
+    answer = keeper.ask(verb, order, **head)
+    done = answer if isinstance(answer, Done) else answer[0]
+    assert done.code == code
+    assert keeper.hash() == before
+
+
+def _garbage(size: int) -> bytes:
+    chance = Chance(size)
+    return bytes(chance.below(256) for _ in range(size))
+
+
+@pytest.mark.parametrize("data", [b"", b"\xff" * 9, _garbage(7), _garbage(900), b"x" * (1 << 20)],
+                         ids=["nothing", "ones", "few", "many", "over the bound"])
+def test_garbage_ends_nothing(keeper: Running, data: bytes) -> None:
+    before = keeper.hash()
+    own = [("grpc.use_local_subchannel_pool", 1)]
+    stranger = grpc.insecure_channel(f"127.0.0.1:{keeper.service.port}", own)
+    for service in wire.DESCRIPTOR.services_by_name.values():
+        for method in service.methods:
+            try:
+                answer = stranger.unary_unary(f"/{service.full_name}/{method.name}")(data, timeout=5)
+            except grpc.RpcError as error:
+                assert error.code() in (grpc.StatusCode.INTERNAL, grpc.StatusCode.UNKNOWN,
+                                        grpc.StatusCode.RESOURCE_EXHAUSTED), (method.name, error)
+            else:
+                assert answer, method.name   # refused by type, in an answer that can be read
+    stranger.close()
+    assert keeper.hash() == before and keeper.keeping.thread.is_alive()
