Fleet: a relay says why the keepers refuse it a session

Two relays with one name were kept apart without a word: a refusal that came as an answer (name_taken, crowded, lapsed_lease, fenced_off) was never logged, only calls that failed were.

--- a/laurelcourse/fleet/member.py
+++ b/laurelcourse/fleet/member.py
@@ -11,7 +11,7 @@
 from laurelcourse.fleet.budgets.holder import Holder
 from laurelcourse.fleet.calls.client import Client
 from laurelcourse.fleet.calls.mailbox import Letters
-from laurelcourse.fleet.errors import FleetError
+from laurelcourse.fleet.errors import FleetError, made
 from laurelcourse.fleet.orders import Answer, Beat, Submit
 from laurelcourse.fleet.session import CLOSING, Session
 from laurelcourse.net.counters import Counters
@@ -84,6 +84,9 @@
             self._doubt(answer)
         else:
             self.session.answered(now, order.asked_at, answer)
+            dones = answer if type(answer) is tuple else (answer,)
+            for done in [one for one in dones if isinstance(one, Done) and one.code]:
+                self._doubt(made(done.code, done.to, dict(done.told)))
         self.holder.renewed(now)
         for command, _ in self.session.settled():
             if isinstance(command.what, GiveBack):
