Fleet: real processes with faults between them

Nothing showed that relays wired together keep their leases and books through faults. Ten tests start three keepers and two members: leader killed again and again, a long sleep, no quorum, all killed, SIGTERM, a torn and an older disk, a full one, bad ways, and a script of faults from two seeds. Each waits on conditions.

--- /dev/null
+++ b/tests/test_fleet_processes.py
@@ -0,0 +1,303 @@
+"""Real processes of one fleet with faults between them: waits are on conditions, each with a deadline."""
+
+import contextlib
+import queue
+import threading
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+
+import pytest
+
+from laurelcourse.chance import Chance
+from laurelcourse.fleet.books.apply import Books
+from laurelcourse.fleet.books.forms import Command, Done, Fence, GiveBack, Open
+from laurelcourse.fleet.calls import codec
+from laurelcourse.fleet.calls.client import Client
+from laurelcourse.fleet.calls.ways import limits
+from laurelcourse.fleet.errors import DamagedBooksError, FleetError
+from laurelcourse.fleet.keeper.forms import BOOKS
+from laurelcourse.fleet.keeper.store import Store
+from laurelcourse.fleet.orders import Answer, Question, Submit
+from laurelcourse.fleet.terms import terms
+from laurelcourse.fleet.wiring import clock
+from laurelcourse.lab import faults
+from laurelcourse.lab.host import Host
+from laurelcourse.operator import reading
+from laurelcourse.standins import way
+from laurelcourse.standins.base import until
+from laurelcourse.standins.way import Mode
+
+SECOND = 1_000_000
+LEADS, HELD = 6, 10           # seconds in which a new leader leads, and all sessions are held again
+KEEPERS, MEMBERS = {"k1": "a", "k2": "b", "k3": "c"}, {"m1": "a", "m2": "b"}
+BUDGET = {"name": "resends", "kind": "rate", "whole": "2000", "floor": "2", "relays": "10", "scope": "fleet",
+          "when-used-up": "shed"}
+
+
+class Seen:
+    """A fleet, looked at over a gRPC client of the tests' own that no fault meets."""
+
+    def __init__(self, host: Host) -> None:
+        self.host, self.guests = host, 0
+        fleet = reading.read(host.nodes["k1"].folder / "operator.xml").fleet
+        self.terms = terms(fleet)
+        self.client = Client(fleet.name, "guest", {name: f"{at[0]}:{at[1]}" for name, at in host.at.items()},
+                             limits(self.terms), clock, Chance(9))
+
+    def answered(self, give: Callable, order: object) -> Answer | FleetError:
+        came: queue.Queue = queue.Queue()
+        give(order, came.put)
+        return came.get(timeout=10)
+
+    def ask(self, what: str, of: str = "", seconds: float = LEADS) -> tuple:
+        def once() -> Done | None:
+            answer = self.answered(self.client.ask, Question(what, of))
+            return answer if isinstance(answer, Done) and not answer.code else None
+        return until(once, seconds).value
+
+    def give(self, fence: Fence | None, mark: int, what: object) -> Done:
+        """A whole order may be refused before any of its commands is looked at."""
+        came = self.answered(self.client.submit, Submit((Command(fence, mark, what),)))
+        return came[0] if type(came) is tuple else came
+
+    def fence(self, name: str) -> Fence | None:
+        found = self.ask("session", name)
+        return Fence(*found[:4]) if found else None
+
+    def fences(self, *names: str) -> dict[str, Fence | None]:
+        return {name: self.fence(name) for name in names or self.host.nodes}
+
+    def leader(self) -> str:
+        self.ask("hash")
+        return self.client.leader
+
+    def guest(self) -> Fence:
+        """A session that nobody renews."""
+        self.guests += 1
+
+        def opened() -> tuple:
+            came = self.give(None, 1, Open(f"g{self.guests}", "a"))
+            return came.value if isinstance(came, Done) else ()
+        return Fence(*until(opened, LEADS))
+
+    def a_lease_passes(self) -> None:
+        name = self.guest().name
+        until(lambda: self.fence(name) is None, HELD)
+
+    def said(self, name: str, *words: str) -> list[str]:
+        lines = self.host.nodes[name].log.read_text().splitlines()
+        return [line for line in lines if all(word in line for word in words)]
+
+    def state(self, name: str) -> str:
+        return self.said(name, '"session is now"')[-1].partition("state=")[2]
+
+    def settled(self, *names: str) -> None:
+        """All processes run, and books and relays agree on who holds which session."""
+        def agreed(name: str) -> bool:
+            fence = self.fence(name)
+            return fence is not None and self.state(name).startswith(
+                f"held session={fence.session} boot={fence.boot}")
+        for name in names or self.host.nodes:
+            assert self.host.nodes[name].alive(), name
+            until(lambda name=name: agreed(name), HELD)
+
+    def whole(self) -> None:
+        """What is on each keeper's disk comes to the same books, and nothing broke."""
+        index, found = self.ask("hash")
+        for name in KEEPERS:
+            until(lambda name=name: self.replayed(name, index) == found, HELD)
+        for name, node in self.host.nodes.items():
+            text = node.log.read_text()
+            for word in ("Traceback", "module fault", "task died", "takes part no more", "order refused"):
+                assert word not in text, (name, word, text[-3000:])
+
+    def replayed(self, name: str, index: int) -> str:
+        node = self.host.nodes[name]
+        node.copied("looked-at")
+        store = Store.open(node.folder / "looked-at", "lab", name, 1)
+        kept = store.kept
+        store.close()
+        books = Books.restored(kept.snapshot.data) if kept.snapshot else Books()
+        for entry in kept.entries:
+            if entry.kind == BOOKS and entry.index <= index:
+                books.apply(entry.index, codec.unpacked(entry.data))
+        return books.hash()
+
+
+@contextlib.contextmanager
+def run(folder: Path, **more: object) -> Iterator[Seen]:
+    with Host(folder, KEEPERS, MEMBERS, budgets=(BUDGET,), skewed=True, **more) as host:
+        host.start()
+        seen = Seen(host)
+        try:
+            seen.settled()
+            yield seen
+        finally:
+            seen.client.close(SECOND)
+
+
+@pytest.fixture(scope="module")
+def shared(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Seen]:
+    with run(tmp_path_factory.mktemp("fleet")) as seen:
+        yield seen
+
+
+@pytest.fixture
+def fleet(shared: Seen) -> Iterator[Seen]:
+    # One that failed before leaves this one a whole fleet.
+    shared.host.ways.heal()
+    for node in shared.host.nodes.values():
+        node.wake()
+        (node.folder / "full").unlink(missing_ok=True)
+        if not node.alive():
+            node.start()
+    shared.settled()
+    yield shared
+    shared.settled()
+
+
+def test_the_leader_is_killed_again_and_again(fleet: Seen) -> None:
+    before = fleet.fences("m1", "m2")
+    for _ in range(4):
+        leader, guest = fleet.leader(), fleet.guest()
+        fleet.host.nodes[leader].kill()
+        began = time.monotonic()
+        assert fleet.leader() != leader
+        print("new leader after", round(time.monotonic() - began, 2))
+        assert fleet.fence(guest.name) == guest, "an answered command is gone"
+        fleet.host.nodes[leader].start()
+        fleet.settled()
+    assert fleet.fences("m1", "m2") == before
+    fleet.whole()
+
+
+def test_a_member_that_slept_finds_out_before_it_acts(fleet: Seen) -> None:
+    old, node = fleet.fence("m1"), fleet.host.nodes["m1"]
+    node.pause()
+    until(lambda: fleet.fence("m1") is None, HELD)
+    states = len(fleet.said("m1", "session is now"))
+    node.wake()
+    until(lambda: fleet.state("m1").startswith("held") and fleet.fence("m1"), HELD)
+    new = fleet.fence("m1")
+    assert new.session > old.session and new.boot == old.boot + 1
+    told = [line.partition("state=")[2].split()[0] for line in fleet.said("m1", "session is now")[states:]]
+    assert told == ["lapsed", "opening", "held"]
+    assert fleet.give(old, 1 << 20, GiveBack("resends", 0)).code == "fenced_off"
+
+
+def test_without_a_quorum_members_say_so_once_and_serve_on(fleet: Seen) -> None:
+    lost = [fleet.leader(), next(name for name in KEEPERS if name != fleet.client.leader)]
+    before = {name: len(fleet.said(name, "keepers fail")) for name in MEMBERS}
+    for name in lost:
+        fleet.host.nodes[name].kill()
+    for name in MEMBERS:
+        until(lambda name=name: fleet.state(name).startswith("lapsed"), HELD)
+        until(lambda name=name: len(fleet.said(name, "keepers fail")) > before[name], HELD)
+    for name in MEMBERS:
+        counters = fleet.host.nodes[name].counters()
+        until(lambda name=name, had=counters: fleet.host.nodes[name].counters().get(
+            "fleet.failed.no_quorum", 0) > had.get("fleet.failed.no_quorum", 0), HELD)
+        assert len(fleet.said(name, "keepers fail")) == before[name] + 1, fleet.said(name, "keepers fail")
+    for name in lost:
+        fleet.host.nodes[name].start(wait=False)
+    fleet.settled()
+    assert all("keepers are back" in fleet.host.nodes[name].log.read_text() for name in MEMBERS)
+
+
+def test_all_are_killed_at_once_and_the_books_go_on(fleet: Seen) -> None:
+    before, (index, _) = fleet.fences(), fleet.ask("hash")
+    for node in fleet.host.nodes.values():
+        node.kill()
+    for node in fleet.host.nodes.values():
+        node.start(wait=False)
+    fleet.settled()
+    after = fleet.fences()
+    assert fleet.ask("hash")[0] > index
+    for name in before:
+        assert after[name].boot == before[name].boot + 1 and after[name].session > before[name].session
+    assert any(fleet.said(name, "fault=name_taken") for name in after), "nobody waited for the old to lapse"
+    fleet.whole()
+
+
+def test_sigterm_gives_back_at_once(fleet: Seen) -> None:
+    boot, node = fleet.fence("m2").boot, fleet.host.nodes["m2"]
+    assert node.stop() == 0
+    stopped = time.monotonic()
+    until(lambda: fleet.fence("m2") is None, HELD)
+    assert time.monotonic() - stopped < 0.5, "it was left to lapse"
+    node.start()
+    until(lambda: fleet.fence("m2"), HELD)
+    assert fleet.fence("m2").boot == boot + 1
+
+
+@pytest.mark.parametrize("kind", ["torn", "older"])
+def test_a_disk_that_lost_something_takes_no_part(fleet: Seen, kind: str) -> None:
+    leader = fleet.leader()
+    name = next(one for one in KEEPERS if one != leader)
+    node = fleet.host.nodes[name]
+    node.copied("older")
+    fleet.a_lease_passes()
+    until(lambda: fleet.replayed(name, fleet.ask("hash")[0]) == fleet.ask("hash")[1], HELD)
+    had = len(node.log.read_text())
+    fleet.host.carry(faults.Fault(0, faults.DISK_TORN if kind == "torn" else faults.OLD_DISK, (name,)))
+    word = {"torn": "fault=damaged_books", "older": "role=refused"}[kind]
+    try:
+        until(lambda: word in node.log.read_text()[had:], HELD)
+        fleet.settled()
+        lines = [line for line in node.log.read_text()[had:].splitlines() if word in line]
+        assert len(lines) == 1 and "level=error" in lines[0], lines
+        assert kind == "older" or DamagedBooksError.do in lines[0]
+    finally:
+        fleet.host.carry(faults.Fault(0, faults.DISK_BACK, (name,)))
+
+
+def test_a_full_disk_steps_out_and_goes_on(fleet: Seen) -> None:
+    leader = fleet.leader()
+    node = fleet.host.nodes[leader]
+    fleet.host.carry(faults.Fault(0, faults.DISK_FULL, (leader,)))
+    with contextlib.suppress(AssertionError, IndexError, TypeError):
+        fleet.guest()
+    until(lambda: "keeper steps out" in node.log.read_text(), HELD)
+    until(lambda: fleet.leader() != leader, HELD)
+    fleet.host.carry(faults.Fault(0, faults.DISK_FREE, (leader,)))
+    until(lambda: "keeper goes on" in node.log.read_text(), HELD)
+
+
+WAYS = {"silent": (Mode(way.SILENT), None), "cut": (Mode(way.CUT), None),
+        "deaf": (Mode(way.DEAF, lane=way.THERE), Mode(way.DEAF, lane=way.BACK)),
+        "half-open": (Mode(way.HALF_OPEN), None), "flap": (Mode(way.FLAP, period=SECOND // 5), None)}
+
+
+@pytest.mark.parametrize("kind", ["site", *WAYS])
+def test_bad_ways_cost_no_session_of_the_majority(fleet: Seen, kind: str) -> None:
+    leader = fleet.leader()
+    other = next(name for name in KEEPERS if name != leader)
+    if kind == "site":
+        fleet.host.around(KEEPERS[leader], Mode(way.SILENT))
+        spared = [name for name, site in fleet.host.sites.items() if site != KEEPERS[leader]]
+    else:
+        # Nobody hands on what a relay tells a keeper that does not lead: the other may lose its lease.
+        fleet.host.between(leader, other, *WAYS[kind])
+        spared = [name for name in fleet.host.nodes if name != other]
+    try:
+        before = fleet.fences(*spared)
+        fleet.a_lease_passes()
+        fleet.settled(*spared)
+        assert fleet.fences(*spared) == before
+    finally:
+        fleet.host.ways.heal()
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_a_script_of_faults(tmp_path: Path, seed: int) -> None:
+    plan = faults.Plan(tuple(KEEPERS.items()), tuple(MEMBERS.items()), lasts=6 * SECOND, gap=SECOND // 2,
+                       lease=SECOND)
+    with run(tmp_path) as fleet:
+        fleet.host.leader = fleet.leader
+        fleet.host.play(faults.script(seed, plan), threading.Event(), print)
+        fleet.settled()
+        fleet.whole()
+        for name, node in fleet.host.nodes.items():
+            counters = node.counters()
+            assert not counters.get("module_faults") and not counters.get("tasks_died"), (name, counters)
