An older disk is told with the error's own sentences; a wrong clock moves the leases' clock too

Cause: the desk told a refused keeper as a change of role alone; lab/skewed.py left CLOCK_BOOTTIME, which leases count by.

--- a/laurelcourse/fleet/keeper/core.py
+++ b/laurelcourse/fleet/keeper/core.py
@@ -58,9 +58,10 @@
         self.role, self.term, self.leader, self.vote = PROVING, kept.term, "", kept.vote
         self.log = Log(kept.snapshot, kept.entries, keepers)
         self.commit = self.applied = self.log.first
-        self.marks, self._disk = Marks(me, kept.marks), kept.disk
+        self.marks, self.disk = Marks(me, kept.marks), kept.disk
         self._proved: set[str] = set()
         self._proved_at = NEVER  # when so many are enough
+        self.seen_more: Mark | None = None  # why it was refused: more than the disk holds, or another disk
         # a disk copied before a vote looks like the disk after it: no new vote in the term found on disk
         self._spent_term = kept.term
         self._saved, self._told = (self.term, self.vote), (self.role, self.term, self.leader)
@@ -230,7 +231,7 @@
     # Proving
 
     def _held(self) -> Mark:
-        return Mark(self._disk, self.term, self.last if self.log.last_term == self.term else 0)
+        return Mark(self.disk, self.term, self.last if self.log.last_term == self.term else 0)
 
     def _others(self) -> tuple[str, ...]:
         return tuple(name for name in self.keepers.voters if name != self.me)
@@ -259,9 +260,10 @@
         self._send.append((sender, Known(self.term, hello.disk, is_older, seen)))
 
     def _on_known(self, now: int, sender: str, known: Known) -> None:
-        if self.role != PROVING or known.disk != self._disk or sender not in self._others():
+        if self.role != PROVING or known.disk != self.disk or sender not in self._others():
             return
         if known.older or older(self._held(), known.mark):
+            self.seen_more = known.mark
             self._become(now, REFUSED, self.term, "")
             return
         self._proved.add(sender)
--- a/laurelcourse/fleet/keeper/desk.py
+++ b/laurelcourse/fleet/keeper/desk.py
@@ -11,11 +11,12 @@
 from laurelcourse.chance import Chance
 from laurelcourse.fleet.books.apply import Books
 from laurelcourse.fleet.books.forms import Batch, Close, Command, Define, Done, Grant, Lapse, Open
-from laurelcourse.fleet.errors import FleetError
+from laurelcourse.fleet.errors import FleetError, OlderDiskError
 from laurelcourse.fleet.keeper.clock import Account
 from laurelcourse.fleet.keeper.core import Core
 from laurelcourse.fleet.keeper.dividing import Dividing
 from laurelcourse.fleet.keeper.forms import BOOKS, LEADER, NOOP, REFUSED, Entry, Keepers, Kept, Message, Out
+from laurelcourse.fleet.keeper.proving import NOTHING
 from laurelcourse.fleet.keeper.together import Together, merged
 from laurelcourse.fleet.members import Members
 from laurelcourse.fleet.orders import Acts, Beat, Note, Question, Renewed, Share, Submit, Terms
@@ -25,6 +26,13 @@
 FLUSHES = 8                    # in a beat, at most, while entries of commands are under way
 
 
+def older_disk(name: str, core: Core) -> OlderDiskError:
+    """What the log says of a keeper that was refused."""
+    seen = core.seen_more or NOTHING
+    held = f"disk {core.disk} term {core.term} entry {core.last}"
+    return OlderDiskError(name, held=held, said=f"disk {seen.disk} term {seen.term} entry {seen.index}")
+
+
 class Order(NamedTuple):
     """Commands of one asker; without a token they are the leader's own."""
 
@@ -339,7 +347,10 @@
             self._not_taken(now, token, code)
         if out.now is not None:
             role, term, leader = out.now
-            self._note("error" if role == REFUSED else "info", "keeper is now", role=role, term=term,
+            if role == REFUSED:
+                fields = older_disk(self.name, self.core).fields()
+                self._note("error", "keeper takes no part", **fields)
+            self._note("info", "keeper is now", role=role, term=term,
                        leader=leader)
 
     def _apply(self, now: int, entry: Entry) -> None:
--- a/laurelcourse/lab/skewed.py
+++ b/laurelcourse/lab/skewed.py
@@ -13,9 +13,10 @@
 
 
 def skew(offset: int, fast: int) -> None:
-    """Both clocks of `time` from now on: Unix time is off by so many microseconds, and both run fast."""
-    unix, steady = time.time_ns, time.monotonic_ns
+    """All clocks of `time` from now on: Unix time is off by so many microseconds, and all run fast."""
+    unix, steady, of = time.time_ns, time.monotonic_ns, time.clock_gettime_ns
     began, begun = unix(), steady()
+    started = {clock: of(clock) for clock in (time.CLOCK_BOOTTIME, time.CLOCK_MONOTONIC)}
 
     def time_ns() -> int:
         return began + offset * 1000 + (unix() - began) * (1_000_000 + fast) // 1_000_000
@@ -23,7 +24,12 @@
     def monotonic_ns() -> int:
         return begun + (steady() - begun) * (1_000_000 + fast) // 1_000_000
 
-    time.time_ns, time.monotonic_ns = time_ns, monotonic_ns
+    def clock_gettime_ns(clock: int) -> int:
+        if clock not in started:
+            return of(clock)
+        return started[clock] + (of(clock) - started[clock]) * (1_000_000 + fast) // 1_000_000
+
+    time.time_ns, time.monotonic_ns, time.clock_gettime_ns = time_ns, monotonic_ns, clock_gettime_ns
     time.time, time.monotonic = lambda: time_ns() / 1e9, lambda: monotonic_ns() / 1e9
 
 
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -16,7 +16,7 @@
 from laurelcourse.fleet.calls import codec
 from laurelcourse.fleet.calls.client import Client
 from laurelcourse.fleet.calls.ways import limits
-from laurelcourse.fleet.errors import DamagedBooksError, FleetError
+from laurelcourse.fleet.errors import DamagedBooksError, FleetError, OlderDiskError
 from laurelcourse.fleet.keeper.forms import BOOKS
 from laurelcourse.fleet.keeper.store import Store
 from laurelcourse.fleet.orders import Answer, Question, Submit
@@ -244,13 +244,14 @@
     until(lambda: fleet.replayed(name, fleet.ask("hash")[0]) == fleet.ask("hash")[1], HELD)
     had = len(node.log.read_text())
     fleet.host.carry(faults.Fault(0, faults.DISK_TORN if kind == "torn" else faults.OLD_DISK, (name,)))
-    word = {"torn": "fault=damaged_books", "older": "role=refused"}[kind]
+    error = {"torn": DamagedBooksError, "older": OlderDiskError}[kind]
+    word = f"fault={error.code}"
     try:
         until(lambda: word in node.log.read_text()[had:], HELD)
         fleet.settled()
         lines = [line for line in node.log.read_text()[had:].splitlines() if word in line]
         assert len(lines) == 1 and "level=error" in lines[0], lines
-        assert kind == "older" or DamagedBooksError.do in lines[0]
+        assert error.do in lines[0]
     finally:
         fleet.host.carry(faults.Fault(0, faults.DISK_BACK, (name,)))
 
