--- a/laurelcourse/lab/command.py
+++ b/laurelcourse/lab/command.py
@@ -19,7 +19,12 @@
     return tuf.run, 50.0
 
 
-LABS = {"relay": _relay, "tuf": _tuf}
+def _budgets() -> tuple[Callable[..., Report], float]:
+    from laurelcourse.lab import budgets
+    return budgets.run, 50.0
+
+
+LABS = {"relay": _relay, "tuf": _tuf, "budgets": _budgets}
 CALM = frozenset(("tuf",))  # labs that can do without faults
 
 
--- a/laurelcourse/lab/guards.py
+++ b/laurelcourse/lab/guards.py
@@ -94,10 +94,37 @@
     Front._answer = noted
 
 
+def _any_use() -> None:
+    from laurelcourse.fleet.budgets.use import Use
+    Use._fits = lambda *_: True
+
+
+def _lease_for_ever() -> None:
+    from laurelcourse.fleet.budgets.holder import Holder
+    from laurelcourse.fleet.budgets.use import Use
+    told, take = Use.told, Use.take
+
+    def kept(self: Any, now: int, share: Any, until: int) -> None:  # noqa: ANN401
+        if share is not None:
+            told(self, now, share, until)
+    Use.told = kept
+    Use.allowed = lambda self, _: self.budget.floor + self._share()
+    Use.take = lambda self, now, amount=1, **_: take(self, now, amount, usable=True)
+    Holder._unbound = lambda self, _, name: name not in self.budgets
+
+
+def _floors_gone() -> None:
+    from laurelcourse.fleet.budgets.use import Use
+    Use.allowed = lambda self, now: self._share() if now < self.until else 0
+
+
 GUARDS: dict[str, dict[str, Callable[[], Any]]] = {
     "relay": {
         "one_outcome_each": _answer_twice, "bad_build_released": _verdict(face.VOTE_ON),
         "good_build_released": _verdict(face.VOTE_HOLD), "exposure_over_cap": _no_cap},
+    "budgets": {
+        "over_whole": _any_use, "used_after_lapse": _lease_for_ever, "floor_broken": _floors_gone,
+        "one_outcome_each": _answer_twice},
     "tuf": {
         "one_outcome_each": _one_more_answer, "wrong_bytes_accepted": _no_hash,
         "stale_metadata_passed": _no_floor, "to_draining_after_grace": _no_drain,
