Pool: a full budget of connections is waited for a moment, and is not the unit's fault

Cause: one refused by the fleet's budgets for handshakes or connections was told as an unreached unit: the unit was blamed, and the req was shed though its relay's share would have allowed the connection a few ms later. It now waits up to the time for a connection, and takes one that comes to rest meanwhile; what then fails is told as unsent.

--- a/laurelcourse/net/pool.py
+++ b/laurelcourse/net/pool.py
@@ -55,7 +55,12 @@
 
     def connection(self, place: Place, until: int) -> tuple[Connection | None, int, str]:
         """A clean idle one and its rest, else a new one; or why there is none. Nothing has run so far."""
+        patience = min(until, self.scheduler.now() + self.limits.connect) - self.limits.settle
         conn, rested = self._rested(place)
+        while conn is None and self.scheduler.now() < patience and not self._room(place):
+            # A budget's next use is a moment away, and so may be a connection that comes to rest.
+            self.scheduler.sleep(self.limits.settle)
+            conn, rested = self._rested(place)
         if conn:
             return conn, rested, face.OK
         if self.open >= self.limits.upstream and not self.drop_idle():
@@ -63,7 +68,8 @@
             return None, 0, face.UNREACHED
         if not self._within_budgets(place):
             self.counters.add("units_no_budget")
-            return None, 0, face.UNREACHED
+            # Not the unit's fault, and nothing that it is to be judged by.
+            return None, 0, face.UNSENT
         self.open += 1
         until = min(until, self.scheduler.now() + self.limits.connect)
         conn = Connection.connect(self.scheduler, place.address, self.limits, until)
@@ -79,6 +85,11 @@
             return None, 0, status
         return conn, 0, status
 
+    def _room(self, place: Place) -> bool:
+        now = self.scheduler.now()
+        return place.gone or (self.shares.could(now, face.HANDSHAKES, place.unit) is not False
+                              and self.shares.could(now, face.CONNECTIONS, place.unit) is not False)
+
     def _within_budgets(self, place: Place) -> bool:
         """The fleet's bounds on new connections to a unit and on those held; one is counted as held from here
         on."""
