Lab of budgets: another pace of demand is heeded at once

A client slept out its former pause, up to nine seconds, so a shift of demand came later than the lab took it to have come.

--- a/laurelcourse/lab/budgets_seen.py
+++ b/laurelcourse/lab/budgets_seen.py
@@ -15,6 +15,7 @@
 
 WAIT_MS, LATE = 1500, 0.75  # a req's time; so late may an answer be on a busy machine
 WORK, EACH, BUSY = 0.004, 24, 0.25   # a unit's time for a req, reqs a connection, the share refused as busy
+STEP = 0.1                  # a client's longest pause, after which one of a slower pace asks by chance
 EDGE = 0.15                 # what a unit or a client notes may be so late, or so early
 
 
@@ -65,7 +66,7 @@
 
 
 class Caller:
-    """A client of one relay, one req at a time; `pace` is its usual pause, 0 while it rests."""
+    """A client of one relay, one req at a time; `pace` is its usual pause."""
 
     def __init__(self, seed: int, relay: str, port: int, pace: float) -> None:
         self.relay, self.port, self.pace, self.chance = relay, port, pace, Chance(seed)
@@ -76,9 +77,10 @@
 
     def _work(self) -> None:
         client = None
-        while not self.over.wait((self.pace or 0.1) * (0.5 + self.chance.share())):
+        # In short steps, so that another pace is heeded at once.
+        while not self.over.wait(min(self.pace, STEP) * (0.5 + self.chance.share())):
             with contextlib.suppress(OSError, EOFError):
-                if self.pace:
+                if self.chance.share() * self.pace <= STEP:
                     client = client or PgClient(self.port)
                     self._ask(client)
                 continue
