lab budgets: a fleet's relays under skewed demand and faults, counted by units and clients

Need: shares are worth what units see of them. Change: the lab with four checks and a guard for each; a connection beyond the fleet's budget ends as unsent, not as unreached, and only budgets that the operators let wait are waited for. Cause of the second: the unit was blamed for a budget used up (net/pool.py, connection), and rested.

--- a/laurelcourse/fleet/member.py
+++ b/laurelcourse/fleet/member.py
@@ -37,6 +37,9 @@
     def back(self, _: int, name: str, key: str = "") -> None:
         self.holder.back(self.clock(), name, key)
 
+    def waits(self, name: str) -> bool:
+        return name in self.holder.waiting
+
 
 class Member:
     def __init__(self, scheduler: Scheduler, session: Session, holder: Holder, client: Client,
--- a/laurelcourse/fleet/wiring.py
+++ b/laurelcourse/fleet/wiring.py
@@ -75,7 +75,8 @@
     # Another chance at each start of the process, for its session must not bear the mark of the one before.
     session = Session(name, settings.site_of(fleet, name, zone), terms, Chance(seed ^ clock()), clock())
     letters = Letters(host.scheduler, bounds.queue)
-    holder = Holder(session, terms.budgets, clock())
+    waiting = [one.name for one in fleet.budgets if one.when_used_up == "wait"]
+    holder = Holder(session, terms.budgets, clock(), waiting)
     member = Member(host.scheduler, session, holder, client, letters, clock, host.counters)
     host.main.heed(Shares(holder, clock))
     host.works.append(member.work)
--- a/laurelcourse/lab/command.py
+++ b/laurelcourse/lab/command.py
@@ -24,7 +24,12 @@
     return keepers.run, keepers.SECONDS
 
 
-LABS = {"keepers": _keepers, "relay": _relay, "tuf": _tuf}
+def _budgets() -> tuple[Callable[..., Report], float]:
+    from laurelcourse.lab import budgets
+    return budgets.run, 50.0
+
+
+LABS = {"budgets": _budgets, "keepers": _keepers, "relay": _relay, "tuf": _tuf}
 CALM = frozenset(("tuf",))      # labs that can do without faults
 CORE = frozenset(("keepers",))  # labs of pure modules in simulated time
 
--- a/laurelcourse/net/pool.py
+++ b/laurelcourse/net/pool.py
@@ -56,6 +56,8 @@
     def connection(self, place: Place, until: int) -> tuple[Connection | None, int, str]:
         """A clean idle one and its rest, else a new one; or why there is none. Nothing has run so far."""
         conn, rested = self._rested(place)
+        if conn is None and self._waits(place):
+            conn, rested = self._after_a_moment(place, until)
         if conn:
             return conn, rested, face.OK
         if self.open >= self.limits.upstream and not self.drop_idle():
@@ -63,7 +65,8 @@
             return None, 0, face.UNREACHED
         if not self._within_budgets(place):
             self.counters.add("units_no_budget")
-            return None, 0, face.UNREACHED
+            # Not the unit's fault, and nothing that it is to be judged by.
+            return None, 0, face.UNSENT
         self.open += 1
         until = min(until, self.scheduler.now() + self.limits.connect)
         conn = Connection.connect(self.scheduler, place.address, self.limits, until)
@@ -79,6 +82,22 @@
             return None, 0, status
         return conn, 0, status
 
+    def _waits(self, place: Place) -> bool:
+        """Whether a budget is used up that the operators let reqs wait for; else other units come first."""
+        now = self.scheduler.now()
+        return not place.gone and any(
+            self.shares.could(now, name, place.unit) is False and self.shares.waits(name)
+            for name in (face.HANDSHAKES, face.CONNECTIONS))
+
+    def _after_a_moment(self, place: Place, until: int) -> tuple[Connection | None, int]:
+        """A budget's next use may be a moment away, and so may be a connection that comes to rest."""
+        patience = min(until, self.scheduler.now() + self.limits.connect) - self.limits.settle
+        while self.scheduler.now() < patience and self._waits(place):
+            self.scheduler.sleep(self.limits.settle)
+            if (found := self._rested(place))[0]:
+                return found
+        return None, 0
+
     def _within_budgets(self, place: Place) -> bool:
         """The fleet's bounds on new connections to a unit and on those held; one is counted as held from here
         on."""
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -302,6 +302,51 @@
     assert (decided.open, out) == (0, [1])
 
 
+class Bound:
+    """Budgets of one connection to each unit, as a relay's holder answers; `waits`: reqs wait for room."""
+
+    def __init__(self, waits: bool) -> None:
+        self.held, self.waits = [], lambda _: waits
+
+    def could(self, _: int, name: str, key: str = "") -> bool:
+        return name != face.CONNECTIONS or key not in self.held
+
+    def take(self, now: int, name: str, key: str = "") -> bool:
+        found = self.could(now, name, key)
+        self.held += [key] if found and name == face.CONNECTIONS else []
+        return found
+
+    def back(self, _: int, name: str, key: str = "") -> None:
+        self.held.remove(key)
+
+
+@pytest.mark.parametrize("waits, gives_back, status, connections", [
+    (False, False, face.UNSENT, 1), (True, False, face.UNSENT, 1), (True, True, face.OK, 1)])
+def test_a_connection_beyond_the_fleets_budget_is_not_opened_and_blames_no_unit(
+        scheduler: Scheduler, waits: bool, gives_back: bool, status: str, connections: int) -> None:
+    stand = UnitStand()
+    found = limits(Tree({"limits": {"sockets": 64, "memory_mb": 64}, "settings": OUTSIDE}))
+    pool = Pool(scheduler, found, Exchange(scheduler, found, True, Counters()).greet, Counters())
+    pool.shares, ends = Bound(waits), []
+
+    def work() -> None:
+        listed = face.Listed(7, "a", 0, 1, face.READY, 1.0, face.LONG_AGO)
+        pool.listed([(listed, (STAND_IN, stand.port))], True)
+        place, until = pool.places[7], scheduler.now() + 2_000_000
+        first = pool.connection(place, until)
+        if gives_back:
+            scheduler.after(20_000, lambda: pool.keep(place, first[0]))
+        began = scheduler.now()
+        ends.extend([first[2], pool.connection(place, until)[2], scheduler.now() - began])
+        pool.close(first[0])
+    task = scheduler.spawn(work)
+    scheduler.run(lambda: task.dead)
+    stand.close()
+    assert ends[:2] == [face.OK, status] and len(stand.conns) == connections
+    assert (ends[2] > found.settle) is waits and ends[2] < 2 * found.connect
+    assert pool.shares.held == []
+
+
 @pytest.mark.parametrize("idle, between, connections", [
     (30_000, None, 1), (30_000, "at once", 2), (30_000, "build", 2), (30_000, "since", 2),
     (30_000, "gone", 2), (30_000, "closed", 2), (5, "wait", 2)])
