--- a/laurelcourse/fleet/budgets/holder.py
+++ b/laurelcourse/fleet/budgets/holder.py
@@ -18,10 +18,12 @@
 class Holder:
     """Times: microseconds of the clock that the session counts its leases by."""
 
-    __slots__ = ("asked_at", "budgets", "now", "session", "started", "uses")
+    __slots__ = ("asked_at", "budgets", "now", "session", "started", "uses", "waiting")
 
-    def __init__(self, session: Session, budgets: Iterable[Budget], now: int) -> None:
-        self.session, self.now, self.started = session, now, now
+    def __init__(self, session: Session, budgets: Iterable[Budget], now: int,
+                 waiting: Iterable[str] = ()) -> None:
+        """`waiting`: names of budgets that reqs wait for when they are used up."""
+        self.session, self.now, self.started, self.waiting = session, now, now, frozenset(waiting)
         self.budgets = {one.name: one for one in budgets}
         self.uses: dict[str, Use] = {}
         self.asked_at: dict[str, int] = {}
--- a/laurelcourse/interface.py
+++ b/laurelcourse/interface.py
@@ -54,6 +54,9 @@
     def back(self, now: int, name: str, key: str = "") -> None:
         """Of what is held: one is held no longer."""
 
+    def waits(self, name: str) -> bool:
+        """Whether, when it is used up, a moment is waited for room: as the operators say."""
+
 
 class NoShares:
     """A relay without a fleet."""
@@ -67,6 +70,9 @@
     def back(self, now: int, name: str, key: str = "") -> None:
         pass
 
+    def waits(self, name: str) -> bool:
+        return False
+
 
 class Listed(NamedTuple):
     """One unit as the directory lists it."""
--- a/tests/test_fleet_flows.py
+++ b/tests/test_fleet_flows.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterator
 from pathlib import Path
 
+import grpc
 import pytest
 import test_fleet_desk
 from click.testing import CliRunner
@@ -16,6 +17,7 @@
 from laurelcourse.fleet.books import forms as f
 from laurelcourse.fleet.books.apply import Books
 from laurelcourse.fleet.calls import codec
+from laurelcourse.fleet.calls import fleet_pb2 as wire
 from laurelcourse.fleet.flows_client import DONE, ERRORED, UNDONE, FlowsClient, Told
 from laurelcourse.fleet.orders import Question
 from laurelcourse.fleet.workflows import definition as d
@@ -102,6 +104,17 @@
     assert (told.number, told.answer, told.refused) == (0, ERRORED, code)
 
 
+@pytest.mark.parametrize("data", [b"\xff" * 9, b"x" * (1 << 20)])
+def test_garbage_ends_nothing(fleet: Fleet, data: bytes) -> None:
+    channel = grpc.insecure_channel(f"{RELAY}:{fleet.host.flows['m1']}")
+    for method in wire.DESCRIPTOR.services_by_name["Flows"].methods:
+        with pytest.raises(grpc.RpcError) as found:
+            channel.unary_unary(f"/{method.containing_service.full_name}/{method.name}")(data, timeout=5)
+        assert found.value.code() is not grpc.StatusCode.DEADLINE_EXCEEDED
+    channel.close()
+    assert fleet.client("m1").look(1).number == 1
+
+
 def test_a_client_that_leaves_undoes(fleet: Fleet) -> None:
     fleet.ledger.delays["hold.device.d-left"] = 0.5
     client = fleet.client("m1")
