--- a/laurelcourse/fleet/errors.py
+++ b/laurelcourse/fleet/errors.py
@@ -235,6 +235,12 @@
     do = "undo it by hand at its unit, then tell the books; the steps before it wait until then"
 
 
+class StepStuckError(FleetError):
+    code = "step_stuck"
+    what = "step {step}, behind the point of no return, can't be done after {tries} tries"
+    do = "do it by hand at its unit, then tell the books; the steps after it wait until then"
+
+
 class NoSuchWorkflowError(FleetError):
     code = "no_such_workflow"
     what = "no workflow has this number; finished ones are forgotten after a while"
--- a/laurelcourse/fleet/workflows/work.py
+++ b/laurelcourse/fleet/workflows/work.py
@@ -29,6 +29,7 @@
 from laurelcourse.fleet.errors import (
     DefinitionRefusedError,
     FleetError,
+    StepStuckError,
     UndoStuckError,
     UnknownFateError,
     UnreadableError,
@@ -402,9 +403,10 @@
         if view.owner == self.me and view.state == books.STUCK and number not in self.stuck:
             self.stuck.add(number)
             self.counters.add("flows.stuck")
-            at = books.current(view) if books.passed(view) else books.to_undo(view)
-            tries = view.steps[at].tries if books.passed(view) else view.steps[at].undo_tries
-            error = UndoStuckError(f"workflow {number}", step=view.definition.steps[at].name, tries=tries)
+            passed = books.passed(view)
+            at, kind = (books.current(view), StepStuckError) if passed else (books.to_undo(view), UndoStuckError)
+            tries = view.steps[at].tries if passed else view.steps[at].undo_tries
+            error = kind(f"workflow {number}", step=view.definition.steps[at].name, tries=tries)
             log.error("workflow is stuck", extra=error.fields() | {"place": at})
         elif view.state != books.STUCK:
             self.stuck.discard(number)
