--- a/laurelcourse/fleet/workflows/work.py
+++ b/laurelcourse/fleet/workflows/work.py
@@ -404,7 +404,8 @@
             self.stuck.add(number)
             self.counters.add("flows.stuck")
             passed = books.passed(view)
-            at, kind = (books.current(view), StepStuckError) if passed else (books.to_undo(view), UndoStuckError)
+            at = books.current(view) if passed else books.to_undo(view)
+            kind = StepStuckError if passed else UndoStuckError
             tries = view.steps[at].tries if passed else view.steps[at].undo_tries
             error = kind(f"workflow {number}", step=view.definition.steps[at].name, tries=tries)
             log.error("workflow is stuck", extra=error.fields() | {"place": at})
