--- a/laurelcourse/fleet/calls/codec.py
+++ b/laurelcourse/fleet/calls/codec.py
@@ -38,9 +38,13 @@
         "hello": keeper.Hello, "known": keeper.Known}
 WHAT = {"open": books.Open, "close": books.Close, "lapse": books.Lapse, "define": books.Define,
         "grant": books.Grant, "give_back": books.GiveBack}
+OF_MOVES = {"places": books.Places, "shrink": books.Shrink, "recall": books.Recall, "reserve": books.Reserve,
+            "move": books.Move, "resume": books.Resume, "progress": books.Progress, "commit": books.Commit,
+            "free": books.Free}
+WHAT |= OF_MOVES
 FORMS = (keeper.Entry, keeper.Snapshot, keeper.Mark, *TALK.values(), books.Fence, *WHAT.values(),
          books.Budget, books.Command, books.Batch, books.Done, orders.Submit, orders.Beat, orders.Share,
-         orders.Renewed, orders.Question)
+         orders.Renewed, orders.Question, books.Link, books.Site, books.Job, books.Stretch)
 
 Two = tuple[Callable, Callable]  # a form's value to the message's, and back
 
