--- a/laurelcourse/fleet/books/apply.py
+++ b/laurelcourse/fleet/books/apply.py
@@ -25,9 +25,11 @@
     Lapse,
     Leave,
     Limits,
+    Link,
     Open,
     Result,
     Settle,
+    Site,
 )
 from laurelcourse.fleet.books.state import Past, Scope, Session, State
 from laurelcourse.fleet.errors import (
@@ -232,6 +234,11 @@
         """What is free in each slice of `first` up to `until`; below 0 where it is over."""
         return reservations.room(self._state, resource, first, until)
 
+    def places(self) -> tuple[tuple[Link, ...], tuple[Site, ...]]:
+        """As the last Places had them."""
+        moves = self._state.transfers
+        return tuple(moves.links.values()), tuple(moves.sites.values())
+
     def over(self) -> tuple[str, ...]:
         """Resources that have shrunk below what is reserved: their jobs must be planned anew."""
         return tuple(one for one in self.resources() if reservations.is_over(self._state, one))
--- a/laurelcourse/fleet/errors.py
+++ b/laurelcourse/fleet/errors.py
@@ -271,6 +271,18 @@
     do = "nothing was done; only its owner acts on it, until that one's lease has lapsed"
 
 
+class TooFastError(FleetError):
+    code, again = "too_fast", True
+    what = "{bytes} bytes came beyond what is reserved"
+    do = "the stream was ended; what is proven stands. Look at the clock of the relay that sends if it lasts"
+
+
+class WrongBytesError(FleetError):
+    code = "wrong_bytes"
+    what = "bytes at {offset} are not those that were sent"
+    do = "what is proven stands, the rest is sent anew; look at disk and network of both ends if it lasts"
+
+
 class UnknownCommandError(FleetError):
     code = "unknown_command"
     what = "the books of this version don't know '{kind}'"
--- a/laurelcourse/fleet/orders.py
+++ b/laurelcourse/fleet/orders.py
@@ -5,7 +5,7 @@
 
 from typing import NamedTuple
 
-from laurelcourse.fleet.books.forms import Budget, Command, Done, Fence, Limits
+from laurelcourse.fleet.books.forms import Budget, Command, Done, Fence, Job, Limits, Link, Site
 from laurelcourse.fleet.keeper.forms import Bounds, Keepers, Message, Write
 
 
@@ -22,6 +22,8 @@
     budgets: tuple[Budget, ...]
     snapshot_every: int          # entries after which the books are written out and the log is cut
     limits: Limits | None = None  # on workflows; None: as the books have them
+    links: tuple[Link, ...] = ()
+    sites: tuple[Site, ...] = ()
 
     def holds(self) -> int:
         """How long the holder may count on a lease, from when it asked, by its own clock."""
@@ -64,6 +66,7 @@
 
     what: str
     of: str = ""
+    job: Job | None = None       # of 'plan': when it may move; 'moves' and 'move' tell of transfers
 
 
 class Note(NamedTuple):
--- a/laurelcourse/fleet/terms.py
+++ b/laurelcourse/fleet/terms.py
@@ -1,6 +1,6 @@
 """From the operators' settings to what the fleet's modules take."""
 
-from laurelcourse.fleet.books.forms import Budget
+from laurelcourse.fleet.books.forms import Budget, Link, Site
 from laurelcourse.fleet.keeper.forms import Bounds, Keepers
 from laurelcourse.fleet.orders import Terms
 from laurelcourse.operator import meaning_workflows
@@ -23,7 +23,9 @@
         keepers=Keepers(tuple(sorted(one.name for one in fleet.keepers))),
         budgets=tuple(Budget(one.name, one.kind, one.whole, one.floor, one.relays, longer(one.window),
                              longer(one.freed_after)) for one in budgets),
-        snapshot_every=told.snapshot_every, limits=meaning_workflows.limits(fleet))
+        snapshot_every=told.snapshot_every, limits=meaning_workflows.limits(fleet),
+        links=tuple(sorted(Link(one.origin, one.to, one.capacity, one.kept) for one in fleet.links)),
+        sites=tuple(sorted(Site(one.name, one.slots) for one in fleet.sites)))
 
 
 def address_of(fleet: Fleet, relay: str) -> Address | None:
--- a/laurelcourse/operator/form.py
+++ b/laurelcourse/operator/form.py
@@ -169,6 +169,32 @@
     keeps: int                   # a finished one can be asked for so long
 
 
+class Door(NamedTuple):
+    line: int
+    relay: str
+    address: Address             # where this relay takes transfers
+
+
+class Site(NamedTuple):
+    """Compute slots for transfers; `folder` is the site's own store, shared by its doors."""
+
+    line: int
+    name: str
+    slots: int
+    folder: str
+    doors: tuple[Door, ...]
+
+
+class Link(NamedTuple):
+    """One direction, bytes a second."""
+
+    line: int
+    origin: str
+    to: str
+    capacity: int
+    kept: int                    # for ordinary reqs
+
+
 class Fleet(NamedTuple):
     line: int
     name: str
@@ -186,6 +212,8 @@
     workflows: tuple[Workflow, ...] = ()
     workflow_limits: WorkflowLimits | None = None
     flows_port: int = 0          # where each relay hears clients of workflows, beside its own; 0: it does not
+    sites: tuple[Site, ...] = ()
+    links: tuple[Link, ...] = ()
 
 
 class Operator(NamedTuple):
--- a/laurelcourse/operator/meaning.py
+++ b/laurelcourse/operator/meaning.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from pathlib import Path
 
-from laurelcourse.operator import meaning_fleet, meaning_workflows
+from laurelcourse.operator import meaning_fleet, meaning_moves, meaning_workflows
 from laurelcourse.operator.form import MANIFEST, METADATA, TARGET, Address, Fault, Operator, Tuf
 from laurelcourse.operator.same import off_range, twice
 
@@ -16,6 +16,7 @@
     all_ = [*_fronts(found), *(fault for front in found.fronts for fault in _front(front, beside))]
     if found.fleet is not None:
         all_ += [*meaning_fleet.faults(found.fleet, beside), *meaning_workflows.faults(found.fleet),
+                 *meaning_moves.faults(found.fleet, beside),
                  *_beside(found)]
     return all_
 
--- a/laurelcourse/operator/reading.py
+++ b/laurelcourse/operator/reading.py
@@ -134,7 +134,9 @@
         workflows=tuple(_workflow(one) for one in node.findall(SPACE + "workflow")),
         workflow_limits=None if limits is None else _one(
             form.WorkflowLimits, limits, in_flight=int, by_tenant=int, behind=int, keeps=_time),
-        flows_port=int(node.get("flows-port") or 0))
+        flows_port=int(node.get("flows-port") or 0),
+        sites=tuple(_site(one) for one in node.findall(SPACE + "site")),
+        links=tuple(_one(form.Link, one, capacity=_size, kept=_size) for one in node.findall(SPACE + "link")))
 
 
 def _budget(node: Any) -> form.Budget:  # noqa: ANN401
@@ -142,6 +144,11 @@
     return found._replace(window=found.window or 0, freed_after=found.freed_after or 0)
 
 
+def _site(node: Any) -> form.Site:  # noqa: ANN401
+    return _one(form.Site, node, slots=int)._replace(
+        doors=tuple(_one(form.Door, one, address=_address) for one in node))
+
+
 def _workflow(node: Any) -> form.Workflow:  # noqa: ANN401
     found = _one(form.Workflow, node, timeout=_time, tries=int, back_off=_time, longest_back_off=_time)
     return found._replace(steps=tuple(_step(one) for one in node))
