--- a/laurelcourse/fleet/keeper/desk.py
+++ b/laurelcourse/fleet/keeper/desk.py
@@ -21,18 +21,23 @@
     Lapse,
     Limits,
     Open,
+    Places,
+    Recall,
 )
 from laurelcourse.fleet.errors import FleetError
 from laurelcourse.fleet.keeper.clock import Account
 from laurelcourse.fleet.keeper.core import Core
 from laurelcourse.fleet.keeper.dividing import Dividing
 from laurelcourse.fleet.keeper.forms import BOOKS, LEADER, NOOP, REFUSED, Entry, Keepers, Kept, Message, Out
+from laurelcourse.fleet.keeper.moving import Moving
 from laurelcourse.fleet.keeper.together import Together, merged
 from laurelcourse.fleet.members import Members
 from laurelcourse.fleet.orders import Acts, Beat, Note, Question, Renewed, Share, Submit, Terms
+from laurelcourse.fleet.transfers import views as views_of_moves
 from laurelcourse.fleet.workflows import views
 
-OWN = (Lapse, Define, Grant, Limits)   # the leader's alone
+# The leader's alone. Shrink, by whoever bears no fence, is the operators' word on a link or site.
+OWN = (Lapse, Define, Grant, Limits, Places, Recall)
 COMING = (Open, Close, Lapse)  # by which sessions come and go
 FLUSHES = 8                    # in a beat, at most, while entries of commands are under way
 
@@ -64,7 +69,8 @@
 class Lead:
     """What this keeper knows as a leader, from its own NOOP's application on."""
 
-    __slots__ = ("account", "beat_at", "define", "dividing", "granting", "lapse_after", "limit", "members")
+    __slots__ = ("account", "beat_at", "define", "dividing", "granting", "lapse_after", "limit", "members",
+                 "moving", "place")
 
     def __init__(self, now: int, terms: Terms, books: Books) -> None:
         self.members = Members(terms, now, [live.number for live in books.sessions()])
@@ -74,6 +80,8 @@
         self.granting = 0                       # Grants under way: the books are about to change
         self.define = books.defined() != terms.budgets
         self.limit = terms.limits is not None and books.limits() != terms.limits
+        self.moving = Moving()
+        self.place = books.places() != (terms.links, terms.sites)
 
 
 class Desk:
@@ -227,7 +235,7 @@
             self.flush_at = now + self.terms.beat // FLUSHES
         self.queue.append(order)
 
-    def _own(self, now: int, what: Lapse | Define | Grant | Limits) -> None:
+    def _own(self, now: int, what: Lapse | Define | Grant | Limits | Places | Recall) -> None:
         self._line_up(now, self._order(None, (Command(None, 0, what),)))
 
     def _token(self) -> int:
@@ -304,11 +312,18 @@
         if lead.limit:
             lead.limit = False
             self._own(now, self.terms.limits)
+        if lead.place:
+            lead.place = False
+            self._own(now, Places(self.terms.links, self.terms.sites))
+        elif recall := lead.moving.recall(self.books, lead.account.at(now)):
+            self._own(now, recall)
         if not lead.granting:
             for grant in lead.dividing.grants(now, self.books, lead.members):
                 lead.granting += 1
                 self._own(now, grant)
-        if not self.queue and not self.under and any(map(self.books.held, self.books.scopes())):
+        waits = any(map(self.books.held, self.books.scopes())) or lead.moving.ends(
+            self.books, lead.account.at(now))
+        if not self.queue and not self.under and waits:
             # What is free by time is freed by a later batch alone: an empty one brings the time.
             self._propose(now, ())
 
@@ -393,7 +408,8 @@
             self.lead.members.follow(now, [live.number for live in self.books.sessions()])
         return dones
 
-    def _own_done(self, now: int, what: Lapse | Define | Grant | Limits, done: Done) -> None:
+    def _own_done(self, now: int, what: Lapse | Define | Grant | Limits | Places | Recall,
+                  done: Done) -> None:
         if isinstance(what, Grant) and self.lead is not None:
             self.lead.granting -= 1
             if done.code:
@@ -419,7 +435,7 @@
             elif self.lead is not None:
                 self._own_refused(now, order.commands[0].what)
 
-    def _own_refused(self, now: int, what: Lapse | Define | Grant | Limits) -> None:
+    def _own_refused(self, now: int, what: Lapse | Define | Grant | Limits | Places | Recall) -> None:
         match what:
             case Lapse():
                 self.lead.members.spare(what.session)
@@ -428,6 +444,8 @@
                 self.lead.define = True
             case Limits():
                 self.lead.limit = True
+            case Places():
+                self.lead.place = True
             case Grant():
                 self.lead.granting -= 1
 
@@ -451,7 +469,7 @@
         ready = [asked for index, asked in self.confirmed if index <= self.applied]
         self.confirmed = [one for one in self.confirmed if one[0] > self.applied]
         for one in (one for asked in ready for one in asked):
-            answer = self._renewed(one) if isinstance(one.what, Beat) else self._looked_up(one.what)
+            answer = self._renewed(one) if isinstance(one.what, Beat) else self._looked_up(now, one.what)
             self.doing.answers.append((one.token, answer))
 
     def _renewed(self, asking: Asking) -> Renewed | Done:
@@ -467,7 +485,7 @@
         shares = self.books.shares_of(beat.fence.session)
         return Renewed(self.terms.lease, tuple(Share(*one) for one in shares))
 
-    def _looked_up(self, question: Question) -> Done:
+    def _looked_up(self, now: int, question: Question) -> Done:
         match question.what:
             case "session":
                 live = self.books.session(question.of)
@@ -485,10 +503,24 @@
                 return self._flows_told(question.of)
             case "flows":
                 return self._flows_of(question.of)
+            case "moves" | "move" | "plan" if self.lead is not None:
+                return self._moves_told(self.lead.account.at(now), question)
             case "hash":
                 return Done((self.books.index, self.books.hash()))
         return Done(code="unknown_command", to=self.name, told=(("kind", question.what),))
 
+    def _moves_told(self, time: int, question: Question) -> Done:
+        """As `transfers/views.py` has it; of a 'plan', its pieces."""
+        moving, of = self.lead.moving, question.of
+        if question.what == "plan":
+            return Done((time, views_of_moves.pieces(moving.plan(self.books, time, question.job))
+                         if question.job else ()))
+        mine = [one for one in self.books.jobs() if
+                (one.job.name == of if question.what == "move" else one.owner == 0 or str(one.owner) == of)]
+        seen = moving.seen(self.books, time, mine)
+        return Done(views_of_moves.told(seen._replace(
+            ended=self.books.ended(of) if question.what == "move" else "")))
+
     def _flows_told(self, numbers: str) -> Done:
         """As `workflows/views.py` has it, in the order asked."""
         found = [int(one) for one in numbers.split(",") if one.isascii() and one.isdigit()]
