--- a/laurelcourse/fleet/wiring.py
+++ b/laurelcourse/fleet/wiring.py
@@ -24,6 +24,9 @@
 from laurelcourse.fleet.member import Member, Shares
 from laurelcourse.fleet.orders import Terms
 from laurelcourse.fleet.session import Session
+from laurelcourse.fleet.transfers.arrivals import Arrivals
+from laurelcourse.fleet.transfers.stream import Books, Door
+from laurelcourse.fleet.transfers.work import Moves
 from laurelcourse.fleet.workflows.steps import Steps
 from laurelcourse.fleet.workflows.work import Flows
 from laurelcourse.net.assembly import Host
@@ -88,9 +91,28 @@
     host.works.append(member.work)
     if fleet.workflows:
         host.closing.extend(workflows(host, fleet, member, bounds))
+    if fleet.sites:
+        host.closing.extend(transfers(host, fleet, member, bounds, folder))
     host.closing.extend([lambda: member.close(bounds.talk), *ends])
 
 
+def transfers(host: Host, fleet: Fleet, member: Member, bounds: Limits,
+              folder: Path) -> list[Callable[[], None]]:
+    """Transfers from this relay's site, and into it; gives what is to be called at the end."""
+    name, books = host.config.name, Books(member.client, clock)
+    site = next((one for one in fleet.sites if any(door.relay == name for door in one.doors)), None)
+    if site is None:
+        return []
+    place = folder / site.folder
+    door = Door(fleet.name, name, site.name, Arrivals(place), books, fleet.beat, bounds,
+                shown(next(one.address for one in site.doors if one.relay == name)))
+    door.start()
+    doors = {one.name: tuple((each.relay, shown(each.address)) for each in one.doors) for one in fleet.sites}
+    moves = Moves(member, Letters(host.scheduler, LETTERS), site.name, place, doors, books)
+    host.works.append(moves.work)
+    return [lambda: moves.close(bounds.talk), lambda: door.stop(bounds.talk)]
+
+
 def workflows(host: Host, fleet: Fleet, member: Member, bounds: Limits) -> list[Callable[[], None]]:
     """Workflows at this relay, and the service for their clients; gives what is to be called at the end."""
     main, routes = host.main, host.config.settings.routes
