--- a/laurelcourse/fleet/keeper/moving.py
+++ b/laurelcourse/fleet/keeper/moving.py
@@ -15,6 +15,7 @@
 GRAINS = 96          # that are planned for: the leader's own beats must not wait
 SOON = 3             # slices ahead that a plan begins which waits for others to park
 WISHES = 16          # newcomers for whom others may have to let go, remembered
+SPARE, LEAST = 32, 32 << 10   # a plan carries so much (a part, and bytes) more: pauses are not made up for
 STANDS = 5_000_000   # microseconds for which room made by a recall is kept for whom it was made
 
 
@@ -77,7 +78,8 @@
             job = there.job
             free.put(job, plan.held(room, job, there.proven, there.pieces, time // SLICE, False).parts, 1)
         want = plan.wanted(room, job, there.proven if there else 0)
-        parts = free.fit(want, False) if want.left > 0 else ()
+        spare = want.left // SPARE + LEAST
+        parts = free.fit(want._replace(left=want.left + spare), False) if want.left > 0 else ()
         if not parts and there is None and job.earnings and len(self.wishes) < WISHES:
             self.wishes[job.name] = job
         return plan.stretches(room, parts)
--- a/laurelcourse/fleet/transfers/stream.py
+++ b/laurelcourse/fleet/transfers/stream.py
@@ -278,9 +278,10 @@
         with self.source.open("rb") as file:
             file.seek(at)
             while at < size and not self.stop.is_set():
-                data = file.read(min(CHUNK, size - at))
-                now = self.books.now()
-                due = rate.due(now, len(data))
+                now, length = self.books.now(), min(CHUNK, size - at)
+                while not (due := rate.due(now, length)) and length > 1:
+                    length //= 2                 # what is left of the stretch carries less than a chunk
+                data = file.read(length)
                 if not data or not due:
                     return
                 # The lease is looked at before each chunk: who wakes from a pause sends nothing more.
--- /dev/null
+++ b/tests/test_fleet_moves.py
@@ -0,0 +1,180 @@
+"""Transfers between real relay processes: whole copies, deaths at either end, streams that are refused."""
+
+import os
+import zlib
+from collections.abc import Callable, Iterator
+from hashlib import blake2b
+from pathlib import Path
+
+import grpc
+import pytest
+
+from laurelcourse.chance import Chance
+from laurelcourse.fleet import terms
+from laurelcourse.fleet.books import forms
+from laurelcourse.fleet.books.state import SLICE
+from laurelcourse.fleet.calls import codec, fleet_pb2_grpc
+from laurelcourse.fleet.calls import fleet_pb2 as wire
+from laurelcourse.fleet.calls.client import Client
+from laurelcourse.fleet.calls.ways import limits
+from laurelcourse.fleet.orders import Question, Submit
+from laurelcourse.fleet.transfers import views
+from laurelcourse.fleet.transfers.arrivals import Arrivals
+from laurelcourse.fleet.wiring import clock, shown
+from laurelcourse.lab.host import Host
+from laurelcourse.operator import reading
+from laurelcourse.standins.base import free_port, until
+
+KEEPERS, MEMBERS = {"k1": "a", "k2": "b", "k3": "c"}, {"m1": "a", "m2": "a", "m3": "b"}
+MIB = 1 << 20
+CHUNK = 16 << 10
+
+
+class Fleet(Host):
+    def __init__(self, folder: Path) -> None:
+        self.folder, self.doors = folder, {name: free_port() for name in MEMBERS}
+        doors = {site: "".join(f'<door relay="{name}" address="127.0.0.1:{self.doors[name]}"/>'
+                               for name, at in MEMBERS.items() if at == site) for site in "ab"}
+        moves = "".join(f'<site name="{site}" slots="4" folder="{folder}/{site}">{doors[site]}</site>'
+                        for site in "ab") + "".join(
+            f'<link origin="{one}" to="{to}" capacity="2MiB" kept="1MiB"/>' for one, to in ("ab", "ba"))
+        super().__init__(folder, KEEPERS, MEMBERS, moves=moves)
+        settings = reading.read(str(folder / "m1" / "operator.xml")).fleet
+        self.terms = terms.terms(settings)
+        self.limits = limits(self.terms)
+        self.client = Client("lab", "test", {one.name: shown(one.address) for one in settings.keepers},
+                             self.limits, clock, Chance(1))
+
+    def close(self) -> None:
+        self.client.close(1_000_000)
+        super().close()
+
+    def asked(self, ask: Callable, what: object) -> object:
+        found: list = []
+        ask(what, found.append)
+        until(lambda: found, 10)
+        return found[0]
+
+    def look(self, job: str) -> views.Seen:
+        return views.seen(self.asked(self.client.ask, Question("move", job)).value)
+
+    def given(self, *commands: forms.Command) -> tuple[forms.Done, ...]:
+        return self.asked(self.client.submit, Submit(commands))
+
+    def lay(self, name: str, size: int, earnings: int = 5, within: int = 30_000_000) -> bytes:
+        data = os.urandom(size)
+        (self.folder / "a" / name).write_bytes(data)
+        (self.folder / "a" / f"{name}.job").write_text(
+            f'<job firm="f" to="b" within="{within}" earnings="{earnings}" slots="1"/>')
+        return data
+
+    def logs(self, words: str, job: str) -> list[tuple[str, str]]:
+        return [(name, line) for name in MEMBERS for line in self.nodes[name].log.read_text().splitlines()
+                if words in line and f"job={job}" in line.split()]
+
+    def copy(self, name: str) -> Path:
+        return self.folder / "b" / "in" / name
+
+
+@pytest.fixture(scope="module")
+def fleet(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Fleet]:
+    with Fleet(tmp_path_factory.mktemp("moves")) as found:
+        found.start()
+        # Places are in the books, and both sites' relays have sessions.
+        until(lambda: all(found.asked(found.client.ask, Question("session", name)).value
+                          for name in MEMBERS), 20)
+        yield found
+
+
+def test_a_copy_is_whole_at_the_far_end_and_leaves_nothing_reserved(fleet: Fleet) -> None:
+    data = fleet.lay("whole", MIB)
+    until(fleet.copy("whole").exists, 12)
+    assert fleet.copy("whole").read_bytes() == data
+    assert fleet.look("whole").ended == "committed" and not fleet.look("whole").views
+    assert len(fleet.logs("copy is here", "whole")) == 1
+
+
+def test_a_killed_senders_job_goes_on_elsewhere_from_the_byte_proven(fleet: Fleet) -> None:
+    data = fleet.lay("killed", 3 * MIB)
+    until(lambda: any(one.proven > MIB // 2 for one in fleet.look("killed").views), 12)
+    dead = fleet.look("killed").views[0].owner.name
+    fleet.nodes[dead].kill()
+    until(fleet.copy("killed").exists, 20)
+    fleet.nodes[dead].start()
+    assert fleet.copy("killed").read_bytes() == data
+    (name, line), = fleet.logs("transfer taken over", "killed")
+    proven = int(line.split("proven=")[1].split()[0])
+    begun = [int(line.split("at_byte=")[1].split()[0]) for _, line in fleet.logs("stream begins", "killed")]
+    assert name != dead and proven > MIB // 2 and begun[-1] >= proven
+
+
+def test_a_receiver_killed_before_and_after_the_rename_shows_one_copy(fleet: Fleet) -> None:
+    inside, aside = fleet.folder / "b" / "in", fleet.folder / "b" / "aside"
+    inside.rename(aside)
+    inside.touch()          # no rename can succeed from now on
+    try:
+        data = fleet.lay("shown", MIB // 2)
+        until(lambda: fleet.look("shown").ended == "committed", 15)
+        fleet.nodes["m3"].kill()
+    finally:
+        inside.unlink()
+        aside.rename(inside)
+    assert not fleet.copy("shown").exists()
+    fleet.nodes["m3"].start()
+    until(fleet.copy("shown").exists, 10)
+    fleet.nodes["m3"].restart(wait=True)
+    assert fleet.copy("shown").read_bytes() == data
+    assert len(fleet.logs("copy is here", "shown")) == 1
+    assert not Arrivals(fleet.folder / "b").waiting()
+
+
+def chunks(fence: forms.Fence, job: str, data: bytes, *, spoiled: bool = False, whole: bytes = b"",
+           at: int = 0) -> Iterator[wire.Chunk]:
+    yield wire.Chunk(head=codec.head("lab", "test", "m3"), fence=codec.message_of(fence), job=job)
+    for first in range(0, len(data), CHUNK):
+        part = data[first:first + CHUNK]
+        last = first + CHUNK >= len(data)
+        yield wire.Chunk(offset=at + first, data=part, crc=zlib.crc32(part) ^ spoiled,
+                         whole=whole if last else b"")
+
+
+# Rate in chunks a second, bytes sent, how, and what is refused; "" where all is proven.
+@pytest.mark.parametrize("name, rate, sent, how, code", [
+    ("beyond", 8, 60 * CHUNK, {}, "too_fast"),
+    ("within", 64, 2 * CHUNK, {}, ""),
+    ("spoiled", 64, 2 * CHUNK, {"spoiled": True}, "wrong_bytes"),
+    ("other", 64, 2 * CHUNK, {"whole": b"x"}, "wrong_bytes"),
+    ("ahead", 64, 2 * CHUNK, {"at": 1}, "out_of_order"),
+    ("foreign", 64, 2 * CHUNK, {"session": 1}, "fenced_off")])
+def test_a_stream_is_refused_by_type(fleet: Fleet, name: str, rate: int, sent: int, how: dict,
+                                     code: str) -> None:
+    fence = forms.Fence(*fleet.given(forms.Command(None, 7, forms.Open(name, "a")))[0].value)
+    first = fleet.look("none").time // SLICE + 1
+    job = forms.Job(name, "f", "a", "b", sent, 0, (first + 40) * SLICE, 1, 0)
+    length = -(-sent // (rate * CHUNK))
+    piece = forms.Stretch(first, first + length, rate * CHUNK, ("a", "b"))
+    done, = fleet.given(forms.Command(fence, 1, forms.Reserve(job, (piece,))))
+    assert not done.code, done
+    until(lambda: fleet.look("none").time >= first * SLICE)
+    data = bytes(sent)
+    how = {"whole": blake2b(data, digest_size=32).digest()} | how
+    fence = fence._replace(session=how.pop("session", fence.session))
+    with grpc.insecure_channel(f"127.0.0.1:{fleet.doors['m3']}") as channel:
+        proofs = list(fleet_pb2_grpc.MovesStub(channel).Carry(chunks(fence, name, data, **how)))
+    assert proofs[-1].refused.code == code
+    assert (proofs[-1].proven == sent) == (code == "")
+    assert not fleet.copy(name).exists()        # proven or not, without the books' Commit there is no copy
+
+
+def test_a_shrunk_link_recalls_what_earns_least_and_tells_it_once(fleet: Fleet) -> None:
+    low, high = fleet.lay("low", 2 * MIB, 1), None
+    until(lambda: fleet.look("low").views, 10)
+    high = fleet.lay("high", 3 * MIB, 50)
+    until(lambda: fleet.look("high").views, 10)
+    first = fleet.look("low").time // SLICE + 1
+    done, = fleet.given(forms.Command(None, 0, forms.Shrink("a>b", MIB + MIB // 2, first)))
+    assert not done.code, done
+    until(lambda: fleet.logs("transfer recalled", "low") or fleet.look("low").ended, 10)
+    until(lambda: fleet.copy("high").exists() and fleet.copy("low").exists(), 28)
+    assert fleet.copy("low").read_bytes() == low and fleet.copy("high").read_bytes() == high
+    assert len(fleet.logs("transfer recalled", "low")) == 1 and not fleet.logs("transfer recalled", "high")
