--- a/laurelcourse/fleet/keeper/moving.py
+++ b/laurelcourse/fleet/keeper/moving.py
@@ -68,9 +68,11 @@
         there = next((one for one in books.jobs() if one.job.name == job.name), None)
         if time < self.until:
             meant = self.meant.get(job.name, ())
-            if meant and meant[0].first > time // SLICE:
+            carried = sum(one.rate * (one.until - one.first) * SLICE // 1_000_000 for one in meant)
+            left = job.size - (there.proven if there else 0)
+            if meant and meant[0].first > time // SLICE and carried >= left:
                 return meant
-            if there is None or there.state == RECALLED:
+            if not meant and (there is None or there.state == RECALLED):
                 return ()                        # or who was to let go would take its room back at once
         room = _room(books, time, job.deadline, 1)
         free = plan.Free(room)
--- a/laurelcourse/fleet/transfers/stream.py
+++ b/laurelcourse/fleet/transfers/stream.py
@@ -137,14 +137,19 @@
     def _carried(self, chunks: Iterator[Message], context: grpc.ServicerContext, part: Part, fence: Fence,
                  view: views.View, sender: str) -> Iterator[Message]:
         rate = pace.receiver(view.pieces, SLICE, self.books.now() - pace.SLACK, CHUNK)
-        looked = proved = self.books.clock()
+        looked = proved = ready = self.books.clock()
+        slow = 0
         for chunk in chunks:
             now = self.books.clock()
+            slow -= min(slow, now - ready)
             if now >= looked + self.beat:
                 anew = self._allowed(part.job, fence)
                 if anew.pieces != view.pieces:
-                    rate = pace.receiver(anew.pieces, SLICE, self.books.now(), CHUNK)
+                    rate = pace.receiver(anew.pieces, SLICE, self.books.now() - pace.SLACK, CHUNK)
                 view, looked = anew, self.books.clock()
+            # What came while this end asked the books or wrote to disk had to wait: no fault of the sender.
+            slow = max(slow, self.books.clock() - now)
+            rate.burst = pace.SLACK + slow
             if not rate.take(self.books.now(), len(chunk.data)):
                 raise TooFastError(part.job, bytes=len(chunk.data))
             if chunk.offset != part.at or part.at + len(chunk.data) > part.size:
@@ -166,6 +171,8 @@
                 part.sync()
                 proved = now
                 yield self._proof(sender, self._capped(part))
+            ready = self.books.clock()
+            slow = max(slow, ready - now)
 
     def _proof(self, sender: str, proven: int) -> Message:
         return wire.Proof(head=codec.head(self.fleet, self.me, sender), proven=proven)
--- a/tests/test_fleet_calls.py
+++ b/tests/test_fleet_calls.py
@@ -40,6 +40,10 @@
 BUDGET = books.Budget("probes", books.LEVEL, 90, 1, 30, 0, SECOND)
 WHATS = (books.Open("relay-1", "north"), books.Close(), books.Lapse(7), books.Define((BUDGET,)),
          books.Grant("probes", ((7, 30), (8, 0))), books.GiveBack("probes", 2))
+JOB, PIECES = books.Job("j", "firm", "a", "b", 5, 0, 9, 3, 1), (books.Stretch(0, 2, 100, ("a", "b")),)
+WHATS += (books.Places((books.Link("a", "b", 9, 1),), (books.Site("a", 3),)), books.Shrink("a>b", 3, 2),
+          books.Recall(("j",)), books.Reserve(JOB, PIECES), books.Move("j", PIECES), books.Move("j", ()),
+          books.Resume("j"), books.Progress("j", 3), books.Commit("j"), books.Free("j"))
 SUBMIT = orders.Submit(tuple(books.Command(FENCE if n else None, n, what) for n, what in enumerate(WHATS)))
 BATCH = books.Batch(5, 2, SUBMIT.commands)
 BEATING = keeper.Append(2, 9, 2, (), 8, 41)
