--- a/laurelcourse/fleet/transfers/work.py
+++ b/laurelcourse/fleet/transfers/work.py
@@ -10,6 +10,7 @@
 import logging
 from collections.abc import Callable
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from lxml import etree
 
@@ -29,10 +30,12 @@
 from laurelcourse.fleet.books.state import SLICE
 from laurelcourse.fleet.calls.mailbox import Letters
 from laurelcourse.fleet.errors import FleetError
-from laurelcourse.fleet.member import Member
 from laurelcourse.fleet.orders import Answer, Question, Submit
 from laurelcourse.fleet.transfers import views
-from laurelcourse.fleet.transfers.stream import Books, Sending
+
+if TYPE_CHECKING:
+    from laurelcourse.fleet.member import Member
+    from laurelcourse.fleet.transfers.stream import Books, Sending
 
 log = logging.getLogger(__name__)
 
@@ -43,14 +46,15 @@
 
 
 class Moves:
-    def __init__(self, member: Member, letters: Letters, site: str, folder: Path,
-                 doors: dict[str, tuple[tuple[str, str], ...]], books: Books) -> None:
-        """`doors`: of each site relays and their addresses. `letters`: a function and its arguments."""
+    def __init__(self, member: "Member", letters: Letters, site: str, folder: Path,
+                 doors: dict[str, tuple[tuple[str, str], ...]], books: "Books",
+                 begin: "Callable[..., Sending]") -> None:
+        """`begin` makes a stream (`stream.Sending`). `doors`: of each site relays and their addresses. `letters`: a function and its arguments."""
         self.member, self.letters, self.site, self.folder = member, letters, site, folder
-        self.doors, self.books = doors, books
+        self.doors, self.books, self.begin = doors, books, begin
         self.session, self.clock, self.counters = member.session, member.clock, member.counters
         self.beat = self.session.terms.beat
-        self.sending: dict[str, Sending] = {}
+        self.sending: "dict[str, Sending]" = {}
         self.busy: dict[str, int] = {}          # jobs with an order under way, and since when
         self.proven: dict[str, int] = {}        # told by the far end, not yet by the books
         self.turn: dict[str, int] = {}          # which door of the other site is tried next
@@ -206,12 +210,12 @@
             return
         to = doors[self.turn.get(name, 0) % len(doors)]
         until = self.session.granted_at + self.session.terms.holds()
-        one = self.sending[name] = Sending(
+        one = self.sending[name] = self.begin(
             self.session.terms.fleet, self.session.name, to, view, self.folder / name, self.books,
             self.member.client.limits, lambda *said: self._late(self._said, *said), until)
         one.start()
 
-    def _said(self, name: str, what: int | FleetError, sending: Sending) -> None:
+    def _said(self, name: str, what: int | FleetError, sending: "Sending") -> None:
         if isinstance(what, FleetError):
             self.turn[name] = self.turn.get(name, 0) + 1
             self.counters.add(f"moves.stream.{what.code}")
--- a/laurelcourse/fleet/wiring.py
+++ b/laurelcourse/fleet/wiring.py
@@ -25,7 +25,7 @@
 from laurelcourse.fleet.orders import Terms
 from laurelcourse.fleet.session import Session
 from laurelcourse.fleet.transfers.arrivals import Arrivals
-from laurelcourse.fleet.transfers.stream import Books, Door
+from laurelcourse.fleet.transfers.stream import Books, Door, Sending
 from laurelcourse.fleet.transfers.work import Moves
 from laurelcourse.fleet.workflows.steps import Steps
 from laurelcourse.fleet.workflows.work import Flows
@@ -108,7 +108,7 @@
                 shown(next(one.address for one in site.doors if one.relay == name)))
     door.start()
     doors = {one.name: tuple((each.relay, shown(each.address)) for each in one.doors) for one in fleet.sites}
-    moves = Moves(member, Letters(host.scheduler, LETTERS), site.name, place, doors, books)
+    moves = Moves(member, Letters(host.scheduler, LETTERS), site.name, place, doors, books, Sending)
     host.works.append(moves.work)
     return [lambda: moves.close(bounds.talk), lambda: door.stop(bounds.talk)]
 
