--- a/laurelcourse/fleet/transfers/work.py
+++ b/laurelcourse/fleet/transfers/work.py
@@ -49,12 +49,13 @@
     def __init__(self, member: "Member", letters: Letters, site: str, folder: Path,
                  doors: dict[str, tuple[tuple[str, str], ...]], books: "Books",
                  begin: "Callable[..., Sending]") -> None:
-        """`begin` makes a stream (`stream.Sending`). `doors`: of each site relays and their addresses. `letters`: a function and its arguments."""
+        """`begin` makes a stream (`stream.Sending`).
+        `doors`: of each site relays and their addresses. `letters`: a function and its arguments."""
         self.member, self.letters, self.site, self.folder = member, letters, site, folder
         self.doors, self.books, self.begin = doors, books, begin
         self.session, self.clock, self.counters = member.session, member.clock, member.counters
         self.beat = self.session.terms.beat
-        self.sending: "dict[str, Sending]" = {}
+        self.sending: dict[str, Sending] = {}
         self.busy: dict[str, int] = {}          # jobs with an order under way, and since when
         self.proven: dict[str, int] = {}        # told by the far end, not yet by the books
         self.turn: dict[str, int] = {}          # which door of the other site is tried next
--- a/laurelcourse/lab/command.py
+++ b/laurelcourse/lab/command.py
@@ -24,7 +24,12 @@
     return workflows.run, 45.0
 
 
-LABS = {"relay": _relay, "tuf": _tuf, "workflows": _workflows}
+def _transfers() -> tuple[Callable[..., Report], float]:
+    from laurelcourse.lab import transfers
+    return transfers.run, 45.0
+
+
+LABS = {"transfers": _transfers, "relay": _relay, "tuf": _tuf, "workflows": _workflows}
 CALM = frozenset(("tuf",))  # labs that can do without faults
 
 
--- a/laurelcourse/lab/guards.py
+++ b/laurelcourse/lab/guards.py
@@ -165,6 +165,54 @@
     FlowsService._spare = lambda self, wait: 10 * wait
 
 
+def _no_pace() -> None:
+    from laurelcourse.fleet.transfers.pace import Pace
+    Pace.take = lambda *_: True
+    Pace.due = lambda self, now, size: now
+
+
+def _all_free() -> None:
+    from laurelcourse.fleet.books import reservations
+    from laurelcourse.fleet.books.apply import Books
+    reservations._check_room = lambda *_: None
+    Books.room = lambda self, resource, first, until: (400_000,) * (until - first)
+
+
+def _half_a_plan() -> None:
+    from laurelcourse.fleet.books import reservations
+    from laurelcourse.fleet.keeper.moving import Moving
+    plan = Moving.plan
+    reservations._check_plan = lambda *_: None
+    Moving.plan = lambda *told: tuple(one._replace(rate=max(1, one.rate // 2)) for one in plan(*told))
+
+
+def _any_bytes() -> None:
+    from laurelcourse.fleet.transfers.arrivals import Part
+    write = Part.write
+    Part.write = lambda self, data: write(self, bytes(len(data)))
+    Part.digest = lambda self: type("Any", (), {"__ne__": lambda *_: False})()
+
+
+def _shown_again() -> None:
+    import os
+    import shutil
+
+    from laurelcourse.fleet.transfers.arrivals import Arrivals, file_name
+
+    def show(self: Any, job: str) -> bool:  # noqa: ANN401
+        name = file_name(job)
+        shutil.copy(self.parts / name, self.parts.parent / name)
+        os.replace(self.parts.parent / name, self.whole / name)
+        return True
+    Arrivals.show = show
+
+
+def _kept_on() -> None:
+    from laurelcourse.fleet.books import reservations
+    book = reservations._book
+    reservations._book = lambda state, there, pieces: book(state, there, pieces) if pieces else None
+
+
 GUARDS: dict[str, dict[str, Callable[[], Any]]] = {
     "relay": {
         "one_outcome_each": _answer_twice, "bad_build_released": _verdict(face.VOTE_ON),
@@ -173,6 +221,9 @@
         "one_outcome_each": _one_more_answer, "wrong_bytes_accepted": _no_hash,
         "stale_metadata_passed": _no_floor, "to_draining_after_grace": _no_drain,
         "exposure_over_cap": _no_cap, "manifests_twice": _manifests_again, "answers_held_back": _hold_back},
+    "transfers": {
+        "over_link": _no_pace, "over_compute": _all_free, "half_reserved": _half_a_plan,
+        "wrong_bytes": _any_bytes, "committed_twice": _shown_again, "leaked_reservations": _kept_on},
     "workflows": {
         "out_of_order": _undo_first_first, "effects_left_behind": _step_sent(_no_undo_sent),
         "undone_though_done": _always_back, "notices_twice": _step_sent(_notice_again),
--- a/laurelcourse/lab/host.py
+++ b/laurelcourse/lab/host.py
@@ -103,7 +103,7 @@
                  budgets: tuple[dict[str, str], ...] = (), directory: str = NOWHERE, deployer: str = NOWHERE,
                  known: dict | None = None, outside: dict | None = None, broken: str = "", lab: str = "",
                  skewed: bool = False, leader: Callable[[], str] = str, behind: str = "",
-                 flows: str = "", moves: str = "") -> None:
+                 flows: str = "", moves: str | Callable[["Host", str], str] = "") -> None:
         """Relays by name with their sites; `changed` and `bounds` are attributes of the fleet's elements,
         `behind` XML of fronts behind it, `moves` of sites and links, `flows` of workflows, whose
         clients relays then hear at the ports `flows`. `leader` names who leads now, or nobody by ''."""
@@ -122,7 +122,8 @@
             listed = [element("keeper", {"name": one, "address": self._address(name, one), "site": where})
                       for one, where in keepers.items()]
             inside = "".join((*listed, element("bounds", BOUNDS | (bounds or {})),
-                              *(element("budget", one) for one in budgets), flows, moves))
+                              *(element("budget", one) for one in budgets), flows,
+                              moves(self, name) if callable(moves) else moves))
             xml = element("operator", {"xmlns": "urn:laurelcourse:operator:1"},
                           element("fleet", fleet | self._port(name), inside) + behind)
             self.nodes[name] = Node(
--- /dev/null
+++ b/laurelcourse/lab/transfers.py
@@ -0,0 +1,204 @@
+"""`lab transfers`: firms' agendas move between three sites of real relays, under faults.
+
+Bytes are counted by the ways between relays, copies by their files, reservations by a client of the books.
+"""
+
+import tempfile
+import threading
+import time
+from pathlib import Path
+
+from laurelcourse.chance import Chance
+from laurelcourse.fleet import terms
+from laurelcourse.fleet.books.forms import Job
+from laurelcourse.fleet.books.state import SLICE
+from laurelcourse.fleet.calls.client import Client
+from laurelcourse.fleet.calls.ways import limits
+from laurelcourse.fleet.orders import Question
+from laurelcourse.fleet.transfers import best, plan, views
+from laurelcourse.fleet.wiring import clock, shown
+from laurelcourse.lab import faults
+from laurelcourse.lab.host import Host
+from laurelcourse.lab.report import Check, Progress, Report
+from laurelcourse.lab.workflows import leader
+from laurelcourse.operator import reading
+from laurelcourse.standins.base import RELAY, free_port, until
+
+KEEPERS = {"k1": "a", "k2": "b", "k3": "c"}
+MEMBERS = {"m1": "a", "m2": "a", "m3": "b", "m4": "b", "m5": "c", "m6": "c"}
+USABLE, KEPT, SLOTS = 256 << 10, 128 << 10, 2   # bytes a second of a link, two directions each; slots of a site
+JOBS, WITHIN = 18, (8, 18)                      # seconds until a deadline
+KINDS = (faults.KILL, faults.KILL_LEADER, faults.CUT)
+ENDS = 8.0                                      # seconds at the end without faults
+WINDOW, BURST, SPOKEN = 2.0, 0.75, 1.06         # seconds; seconds of the rate at once; what gRPC adds
+WHAT = {
+    "over_link": "windows of 2 s in which a link's direction carried more than may be reserved, and a burst",
+    "over_compute": "looks at which transfers held more slots of a site than it has",
+    "half_reserved": "jobs that were reserved with less than their bytes need",
+    "wrong_bytes": "copies that differ from what was sent",
+    "committed_twice": "copies that were put there more than once",
+    "leaked_reservations": "links of which not all was free once all jobs had ended"}
+
+
+def places(folder: Path, doors: dict[str, int], host: Host, me: str) -> str:
+    """The settings' sites and links as relay `me` sees them: others' doors are behind ways that count."""
+    found = ""
+    for site in "abc":
+        inside = ""
+        for name, at in MEMBERS.items():
+            if at == site:
+                host_, port = RELAY, doors[name]
+                if me in MEMBERS and MEMBERS[me] != at:
+                    host_, port = host.ways.open(me, name, (RELAY, doors[name]))
+                inside += f'<door relay="{name}" address="{host_}:{port}"/>'
+        found += f'<site name="{site}" slots="{SLOTS}" folder="{folder}/{site}">{inside}</site>'
+    return found + "".join(f'<link origin="{one}" to="{to}" capacity="{USABLE + KEPT}B" kept="{KEPT}B"/>'
+                           for one in "abc" for to in "abc" if one != to)
+
+
+class Lab:
+    def __init__(self, host: Host, folder: Path) -> None:
+        self.host, self.folder, self.over = host, folder, threading.Event()
+        fleet = reading.read(str(folder / "m1" / "operator.xml")).fleet
+        told = terms.terms(fleet)
+        self.client = Client("lab", "lab", {one.name: shown(one.address) for one in fleet.keepers},
+                             limits(told), clock, Chance(9))
+        self.jobs: dict[str, Job] = {}
+        self.counts = dict.fromkeys(WHAT, 0)
+        self.ended: dict[str, str] = {}
+        self.half: set[str] = set()
+        self.files: dict[str, set[tuple[int, int]]] = {}
+        self.samples: dict[tuple[str, str], list[tuple[float, int]]] = {}
+
+    def ask(self, what: str, of: str = "", job: Job | None = None) -> tuple | None:
+        found: list = []
+        self.client.ask(Question(what, of, job), found.append)
+        try:
+            until(lambda: found, 6)
+        except AssertionError:
+            return None
+        return found[0].value if hasattr(found[0], "value") and not found[0].code else None
+
+    def copy(self, name: str) -> Path:
+        return self.folder / self.jobs[name].to / "in" / name
+
+    def lay(self, chance: Chance, number: int) -> None:
+        name = f"job{number}"
+        origin = "abc"[chance.below(3)]
+        to = "abc".replace(origin, "")[chance.below(2)]
+        size, within = (128 << 10) + chance.below(768 << 10), WITHIN[0] + chance.below(WITHIN[1] - WITHIN[0])
+        earnings, now = 1 + chance.below(20), views.seen(self.ask("move", name)).time
+        self.jobs[name] = Job(name, "f", origin, to, size, now, now + within * SLICE, earnings, 1)
+        place = self.folder / origin
+        place.mkdir(exist_ok=True)
+        (place / name).write_bytes(bytes(chance.below(256) for _ in range(4096)) * (size // 4096 + 1))
+        with (place / name).open("r+b") as file:
+            file.truncate(size)
+        (place / "new").write_text(f'<job firm="f" to="{to}" within="{within * SLICE}" earnings="{earnings}" '
+                                   'slots="1"/>')
+        (place / "new").rename(place / f"{name}.job")
+
+    def count(self) -> None:
+        while not self.over.wait(0.1):
+            now, sums = time.monotonic(), {}
+            for one, to in self.host.ways.ways:
+                if to in MEMBERS:
+                    pair = MEMBERS[one], MEMBERS[to]
+                    sums[pair] = sums.get(pair, 0) + self.host.ways.counts(one, to).there
+            for pair, amount in sums.items():
+                self.samples.setdefault(pair, []).append((now, amount))
+            for name in list(self.jobs):
+                path = self.copy(name)
+                if path.exists():
+                    stat = path.stat()
+                    self.files.setdefault(name, set()).add((stat.st_ino, stat.st_mtime_ns))
+
+    def look(self) -> None:
+        while not self.over.wait(0.4):
+            used: dict[str, int] = {}
+            for name in list(self.jobs):
+                if name in self.ended or (value := self.ask("move", name)) is None:
+                    continue
+                seen = views.seen(value)
+                if seen.ended:
+                    self.ended[name] = seen.ended
+                for view in seen.views:
+                    bytes_ = sum(one.rate * (one.until - one.first) for one in view.pieces)
+                    if view.pieces and not view.proven and bytes_ < view.job.size:
+                        self.half.add(name)
+                    if any(one.first <= seen.time // SLICE + 1 < one.until for one in view.pieces):
+                        for site in (view.job.origin, view.job.to):
+                            used[site] = used.get(site, 0) + view.job.slots
+            self.counts["over_compute"] += sum(amount > SLOTS for amount in used.values())
+
+    def judge(self) -> None:
+        most = USABLE * (WINDOW + BURST) * SPOKEN
+        for found in self.samples.values():
+            first = 0
+            for at, amount in found:
+                while found[first][0] < at - WINDOW:
+                    first += 1
+                self.counts["over_link"] += amount - found[first][1] > most
+        self.counts["half_reserved"] = len(self.half)
+        self.counts["committed_twice"] = sum(len(one) > 1 for one in self.files.values())
+        for name, job in self.jobs.items():
+            source, path = self.folder / job.origin / name, self.copy(name)
+            self.counts["wrong_bytes"] += path.exists() and path.read_bytes() != source.read_bytes()
+        if len(self.ended) == len(self.jobs):
+            self.counts["leaked_reservations"] = sum(
+                not self.free(one, to) for one in "abc" for to in "abc" if one != to)
+
+    def free(self, one: str, to: str) -> bool:
+        """Whether the books would let a job have all of a link for the next seconds."""
+        now = views.seen(self.ask("move", "none")).time
+        job = Job(f"probe{one}{to}", "f", one, to, 3 * USABLE, now, now + 7 * SLICE, 0, SLOTS)
+        value = self.ask("plan", job.name, job)
+        return bool(value and value[1])
+
+    def figures(self) -> dict[str, float]:
+        start = min(job.earliest for job in self.jobs.values()) // SLICE
+        grains = max(job.deadline for job in self.jobs.values()) // SLICE - start
+        room = plan.Room(start, 1, SLICE, {f"{one}>{to}": (USABLE,) * grains for one in "abc" for to in "abc"
+                                           if one != to}, {site: (SLOTS,) * grains for site in "abc"})
+        wants = tuple(plan.wanted(room, job) for job in self.jobs.values())
+        done = [job for name, job in self.jobs.items() if self.ended.get(name) == "committed"]
+        first, most = plan.first_come(room, wants), best.best(room, wants, 2.0)
+        earned = sum(job.earnings for job in done)
+        return {"jobs": len(self.jobs), "committed": len(done), "still_open": len(self.jobs) - len(self.ended),
+                "of_best_plan": round(earned / max(1, plan.earned(wants, most.plan)), 3) if most else -1,
+                "deadlines_kept": round(len(done) / len(self.jobs), 3),
+                "deadlines_kept_first_come": round(len(first) / len(self.jobs), 3)}
+
+
+def run(seed: int, seconds: float, broken: str, progress: Progress) -> Report:
+    began, chance = time.monotonic(), Chance(seed)
+    with tempfile.TemporaryDirectory() as place:
+        folder, doors = Path(place), {name: free_port() for name in MEMBERS}
+        host = Host(folder, KEEPERS, MEMBERS, broken=broken, lab="transfers", leader=lambda: leader(host),
+                    moves=lambda host, me: places(folder, doors, host, me))
+        with host:
+            host.start()
+            lab = Lab(host, folder)
+            try:
+                until(lambda: all(lab.ask("session", name) for name in MEMBERS), 15)
+                for work in (lab.count, lab.look):
+                    threading.Thread(target=work, daemon=True).start()
+                lasts = max(8.0, seconds - ENDS - (time.monotonic() - began))
+                script = faults.script(seed, faults.Plan(
+                    tuple(KEEPERS.items()), tuple(MEMBERS.items()), lasts=int(lasts * 1e6), kinds=KINDS,
+                    gap=4_000_000, lease=1_500_000))
+                threading.Thread(target=host.play, args=(script, lab.over, progress.say), daemon=True).start()
+                for number in range(JOBS):
+                    lab.lay(chance, number)
+                    lab.over.wait(0.4)
+                until_ = began + seconds - 3.0
+                while time.monotonic() < until_ and len(lab.ended) < JOBS:
+                    lab.over.wait(0.2)
+                lab.over.wait(1.0)
+                lab.over.set()
+                lab.judge()
+            finally:
+                lab.over.set()
+                lab.client.close(1_000_000)
+    checks = [Check(name, lab.counts[name], 0, WHAT[name]) for name in WHAT]
+    return Report("transfers", seed, time.monotonic() - began, lab.figures() | {"faults": len(script)}, checks)
