--- a/laurelcourse/cli.py
+++ b/laurelcourse/cli.py
@@ -114,7 +114,7 @@
 
 
 @main.command()
-@click.argument("name", type=click.Choice(["relay", "tuf", "workflows"]))
+@click.argument("name", type=click.Choice(["relay", "transfers", "tuf", "workflows"]))
 @click.option("--seed", default=1, show_default=True, help="Same seed, same script of faults.")
 @click.option("--seconds", type=click.FloatRange(5, 600), help="How long it may take, about.")
 @click.option("--json", "as_json", is_flag=True, help="One JSON object on standard output.")
--- a/laurelcourse/fleet/keeper/desk.py
+++ b/laurelcourse/fleet/keeper/desk.py
@@ -516,7 +516,7 @@
             return Done((time, views_of_moves.pieces(moving.plan(self.books, time, question.job))
                          if question.job else ()))
         mine = [one for one in self.books.jobs() if
-                (one.job.name == of if question.what == "move" else one.owner == 0 or str(one.owner) == of)]
+                (one.job.name == of if question.what == "move" else of == "*" or one.owner == 0 or str(one.owner) == of)]
         seen = moving.seen(self.books, time, mine)
         return Done(views_of_moves.told(seen._replace(
             ended=self.books.ended(of) if question.what == "move" else "")))
