--- a/laurelcourse/fleet/keeper/desk.py
+++ b/laurelcourse/fleet/keeper/desk.py
@@ -515,8 +515,9 @@
         if question.what == "plan":
             return Done((time, views_of_moves.pieces(moving.plan(self.books, time, question.job))
                          if question.job else ()))
-        mine = [one for one in self.books.jobs() if
-                (one.job.name == of if question.what == "move" else of == "*" or one.owner == 0 or str(one.owner) == of)]
+        owners = ("*", "0", of) if of != "*" else ()     # of 'moves': a session's, and orphans; '*': all
+        mine = [one for one in self.books.jobs() if one.job.name == of or (
+            question.what == "moves" and (not owners or str(one.owner) in owners))]
         seen = moving.seen(self.books, time, mine)
         return Done(views_of_moves.told(seen._replace(
             ended=self.books.ended(of) if question.what == "move" else "")))
