--- a/laurelcourse/fleet/transfers/stream.py
+++ b/laurelcourse/fleet/transfers/stream.py
@@ -51,14 +51,23 @@
 
     def __init__(self, client: Client, clock: Callable[[], int]) -> None:
         self.client, self.clock, self.ahead = client, clock, 0
+        self.lock, self.bounds = threading.Lock(), None
 
     def now(self) -> int:
         """Known once any answer has come."""
         return self.clock() + self.ahead
 
     def hear(self, asked: int, time: int) -> None:
-        """An answer was made between the asking and now: the middle is off by half of that at most."""
-        self.ahead = time - (asked + self.clock()) // 2
+        """An answer was made between the asking and now, which may lie seconds apart. What all answers allow
+        is far narrower; one that fits none of it is of a new leader's account, or a clock has drifted."""
+        least, most = time - self.clock(), time - asked
+        with self.lock:
+            if self.bounds is not None:
+                low, high = max(least, self.bounds[0]), min(most, self.bounds[1])
+                if low <= high:
+                    least, most = low, high
+            self.bounds = least, most
+            self.ahead = (least + most) // 2
 
     def job(self, name: str) -> views.Seen:
         """Blocks for the client's patience at most. Raises FleetError."""
--- a/laurelcourse/fleet/transfers/work.py
+++ b/laurelcourse/fleet/transfers/work.py
@@ -61,6 +61,7 @@
         self.turn: dict[str, int] = {}          # which door of the other site is tried next
         self.done: set[str] = set()             # laid down, and asked for no more
         self.recalled: set[str] = set()
+        self.rests: dict[str, int] = {}         # laid down, and in others' hands: asked for later
         self.next_at, self.patience = 0, 2 * member.client.limits.answer
 
     def work(self) -> None:
@@ -233,7 +234,7 @@
             return
         asked = 0
         for name in found:
-            if name in self.done or name in self.busy or asked == NEW:
+            if name in self.done or name in self.busy or asked == NEW or self.rests.get(name, 0) > time:
                 continue
             job = self._job(name, time)
             if job is None:
@@ -246,7 +247,9 @@
         seen = views.seen(done.value)
         if seen.ended:
             self.done.add(job.name)
-        elif not seen.views:
+        elif seen.views:
+            self.rests[job.name] = seen.time + 2 * self.session.terms.lease
+        else:
             self._ask(Question("plan", job.name, job), lambda plan: self._reserve(plan, job))
 
     def _reserve(self, done: Done, job: Job) -> None:
