--- a/laurelcourse/fleet/calls/codec.py
+++ b/laurelcourse/fleet/calls/codec.py
@@ -41,10 +41,13 @@
         "grant": books.Grant, "give_back": books.GiveBack, "limits": books.Limits, "begin": books.Begin,
         "intend": books.Intend, "result": books.Result, "leave": books.Leave, "settle": books.Settle,
         "adopt": books.Adopt}
+WHAT |= {"places": books.Places, "shrink": books.Shrink, "recall": books.Recall, "reserve": books.Reserve,
+         "move": books.Move, "resume": books.Resume, "progress": books.Progress, "commit": books.Commit,
+         "free": books.Free}
 FORMS = (keeper.Entry, keeper.Snapshot, keeper.Mark, *TALK.values(), books.Fence, *WHAT.values(),
          definition.Send, definition.Step, definition.Definition, books.Budget, books.Command, books.Batch,
          books.Done, orders.Submit, orders.Beat, orders.Share,
-         orders.Renewed, orders.Question)
+         orders.Renewed, orders.Question, books.Link, books.Site, books.Job, books.Stretch)
 
 Two = tuple[Callable, Callable]  # a form's value to the message's, and back
 
--- a/laurelcourse/lab/command.py
+++ b/laurelcourse/lab/command.py
@@ -29,12 +29,17 @@
     return keepers.run, keepers.SECONDS
 
 
+def _transfers() -> tuple[Callable[..., Report], float]:
+    from laurelcourse.lab import transfers
+    return transfers.run, 45.0
+
+
 def _budgets() -> tuple[Callable[..., Report], float]:
     from laurelcourse.lab import budgets
     return budgets.run, 50.0
 
 
-LABS = {"budgets": _budgets, "keepers": _keepers, "relay": _relay, "tuf": _tuf,
+LABS = {"budgets": _budgets, "keepers": _keepers, "relay": _relay, "transfers": _transfers, "tuf": _tuf,
         "workflows": _workflows}
 CALM = frozenset(("tuf",))      # labs that can do without faults
 CORE = frozenset(("keepers",))  # labs of pure modules in simulated time
