--- a/laurelcourse/fleet/keeper/moving.py
+++ b/laurelcourse/fleet/keeper/moving.py
@@ -70,14 +70,17 @@
             meant = self.meant.get(job.name, ())
             carried = sum(one.rate * (one.until - one.first) * SLICE // 1_000_000 for one in meant)
             left = job.size - (there.proven if there else 0)
-            if meant and meant[0].first > time // SLICE and carried >= left:
+            straight = all(len(one.way) == 2 for one in meant)
+            if meant and straight and meant[0].first > time // SLICE and carried >= left:
                 return meant
             if not meant and (there is None or there.state == RECALLED):
                 return ()                        # or who was to let go would take its room back at once
+        job = there.job if there else job
         room = _room(books, time, job.deadline, 1)
+        way = f"{job.origin}>{job.to}"
+        room = room._replace(links={name: one for name, one in room.links.items() if name == way})
         free = plan.Free(room)
         if there is not None:
-            job = there.job
             free.put(job, plan.held(room, job, there.proven, there.pieces, time // SLICE, False).parts, 1)
         want = plan.wanted(room, job, there.proven if there else 0)
         spare = want.left // SPARE + LEAST
@@ -88,7 +91,6 @@
 
 
 def _room(books: Books, time: int, until: int, ahead: int) -> plan.Room:
-    """Straight ways only: a link beside one that leads over a third site is none."""
     first = time // SLICE + ahead
     grain = max(1, -(-max(1, until // SLICE - first) // GRAINS))
     start = -(-first // grain) * grain
