--- a/laurelcourse/fleet/keeper/moving.py
+++ b/laurelcourse/fleet/keeper/moving.py
@@ -81,7 +81,9 @@
         room = room._replace(links={name: one for name, one in room.links.items() if name == way})
         free = plan.Free(room)
         if there is not None:
-            free.put(job, plan.held(room, job, there.proven, there.pieces, time // SLICE, False).parts, 1)
+            # Whoever reserved by another plan may hold a way over a third site: it is left out.
+            mine = [one for one in there.pieces if len(one.way) == 2]
+            free.put(job, plan.held(room, job, there.proven, mine, time // SLICE, False).parts, 1)
         want = plan.wanted(room, job, there.proven if there else 0)
         spare = want.left // SPARE + LEAST
         parts = free.fit(want._replace(left=want.left + spare), False) if want.left > 0 else ()
