--- a/laurelcourse/fleet/transfers/pace.py
+++ b/laurelcourse/fleet/transfers/pace.py
@@ -14,12 +14,9 @@
 
 
 def rates(pieces: Iterable[Stretch], slice_us: int) -> tuple[tuple[int, int], ...]:
-    """From when on (microseconds) how many bytes a second, in order of time, over the straight way alone:
-    streams know no other, and what is reserved elsewhere must not go by it."""
+    """From when on (microseconds) how many bytes a second, over all ways together, in order of time."""
     deltas: dict[int, int] = {}
     for one in pieces:
-        if len(one.way) > 2:
-            continue
         deltas[one.first * slice_us] = deltas.get(one.first * slice_us, 0) + one.rate
         deltas[one.until * slice_us] = deltas.get(one.until * slice_us, 0) - one.rate
     rate, found = 0, []
