--- a/laurelcourse/lab/budgets.py
+++ b/laurelcourse/lab/budgets.py
@@ -45,7 +45,7 @@
         if fixed:
             told = {"whole": str(whole // fixed * fixed), "floor": str(whole // fixed), "relays": str(fixed)}
         return {"name": name, "kind": kind, "scope": scope,
-                "when-used-up": "shed" if scope == "fleet" else "other"} | told | more
+                "when-used-up": "shed" if scope == "fleet" else "wait"} | told | more
     return (one(face.RESENDS, "rate", "fleet", WHOLE, FLOOR),
             one(face.CONNECTIONS, "level", "unit", HELD, HELD_FLOOR, **{"freed-after": "500ms"}),
             one(face.HANDSHAKES, "rate", "unit", NEW, NEW_FLOOR))
