--- a/laurelcourse/fleet/budgets/holder.py
+++ b/laurelcourse/fleet/budgets/holder.py
@@ -18,12 +18,12 @@
 class Holder:
     """Times: microseconds of the clock that the session counts its leases by."""
 
-    __slots__ = ("asked_at", "budgets", "now", "session", "started", "uses", "waiting")
+    __slots__ = ("asked_at", "budgets", "session", "started", "uses", "waiting")
 
     def __init__(self, session: Session, budgets: Iterable[Budget], now: int,
                  waiting: Iterable[str] = ()) -> None:
         """`waiting`: names of budgets that reqs wait for when they are used up."""
-        self.session, self.now, self.started, self.waiting = session, now, now, frozenset(waiting)
+        self.session, self.started, self.waiting = session, now, frozenset(waiting)
         self.budgets = {one.name: one for one in budgets}
         self.uses: dict[str, Use] = {}
         self.asked_at: dict[str, int] = {}
@@ -51,11 +51,6 @@
         if name in self.budgets:
             self._use(now, name, key).back(now, amount)
 
-    def allowed(self, now: int, name: str, key: str = "") -> int:
-        """Floor and share as of now: a second, in any window, or at once."""
-        use = self._use(now, name, key)
-        return use.allowed(now) if self.session.usable(now) else use.budget.floor
-
     def _use(self, now: int, name: str, key: str) -> Use:
         budget = self.budgets.get(name)
         if budget is None:
@@ -66,7 +61,7 @@
         if scope not in self.uses:
             # A former process of this relay may have used its floor of a COUNT just before.
             self.uses[scope] = Use(budget, self.started + budget.window)
-        self.asked_at[scope] = self.now = now
+        self.asked_at[scope] = now
         return self.uses[scope]
 
     def beat(self, now: int) -> None:
