An undo that may have run is not sent again once units have forgotten its key

What callers saw: a client left in the middle of an order; its relay was killed while a unit carried out the refund that undid the first step (deduped, harmless="false").

Cause: books/workflows.py asked is_repeatable for steps alone. _check_undo looked at the order of undos, _apply_undo_outcome at the count of tries, the UNDOING branch of WorkflowRun._next_command at the budget; none at the time since the first try, which was not recorded for undos at all. Ruled out by the record: two owners at once (the second came after lease and timeout), another key, a unit that had not finished.

Change: steps record undo_maybe_ran and first_undo_intended_at; one question, may_send, is asked for steps and undos by the owner and by the books, at the intent and at the outcome. What may no longer be sent makes the workflow stuck, and an operator is told to look whether it ran. The first try that counts is the first that may have run: those shed before it never reached a unit.

Why it holds: the intent is in the books before the first try, so units know its key for its memory from then on, and a further try is intended only if it ends within that.

--- a/laurelcourse/fleet/books/state.py
+++ b/laurelcourse/fleet/books/state.py
@@ -93,10 +93,12 @@
     __slots__ = (
         "allowed_tries",
         "first_intended_at",
+        "first_undo_intended_at",
         "intended_by",
         "maybe_ran",
         "state",
         "tries",
+        "undo_maybe_ran",
         "undo_tries",
     )
 
@@ -108,6 +110,8 @@
         self.maybe_ran = 0  # 1 once the outcome of any try was unknown
         self.intended_by = 0  # the session of the last intent
         self.first_intended_at = 0
+        self.undo_maybe_ran = 0  # as `maybe_ran`, of its undo
+        self.first_undo_intended_at = 0  # of the first try of its undo that may have run
 
 
 class Workflow:
--- a/laurelcourse/fleet/books/workflows.py
+++ b/laurelcourse/fleet/books/workflows.py
@@ -2,10 +2,11 @@
 
 Sagas (Garcia-Molina, Salem 1987). An intent is recorded before its req is sent, the result before the next
 intent. Undos go in reverse order of completion, one at a time; a step known never to have run has none, one
-of unknown outcome is undone as if it had run. At and behind the point of no return, a step that may not be
-repeated and whose outcome is unknown is SPENT: the workflow goes on to its end and reports it. A deduplicated
-step whose repeats are no longer recognized makes the workflow stuck, unless its loss is harmless. Times are
-microseconds of the state machine's time. A refused command changes nothing.
+of unknown outcome is undone as if it had run. At and behind the point of no return, a step that may not
+be repeated and whose outcome is unknown is SPENT: the workflow goes on to its end and reports it. A
+deduplicated step, or undo, that may have run and whose repeats are no longer recognized makes the workflow
+stuck, unless its loss, or its repetition, is harmless. Times are microseconds of the state machine's time. A
+refused command changes nothing.
 """
 
 from typing import NamedTuple
@@ -90,6 +91,11 @@
     maybe_ran: int
     intended_by: int
     first_intended_at: int
+    undo_maybe_ran: int = 0
+    first_undo_intended_at: int = 0
+
+
+UNDO_FIELDS_INDEX = StepView._fields.index("undo_maybe_ran")  # those from here on are of the undo
 
 
 class WorkflowView(NamedTuple):
@@ -136,6 +142,8 @@
         step.maybe_ran,
         step.intended_by,
         step.first_intended_at,
+        step.undo_maybe_ran,
+        step.first_undo_intended_at,
     )
 
 
@@ -180,16 +188,36 @@
     )
 
 
-def is_repeatable(workflow: Workflow | WorkflowView, index: int, time: int) -> bool:
-    """Returns whether a try of unknown outcome may be repeated.
+def may_have_run(step: StepState | StepView, undo: bool) -> bool:
+    """Returns whether the outcome of any try of a step, or of its undo, was unknown.
+
+    Undos begun before `first_undo_intended_at` was recorded have tries without it: they may have run.
+    """
+    if not undo:
+        return bool(step.maybe_ran)
+    return bool(step.undo_maybe_ran or (step.undo_tries and not step.first_undo_intended_at))
+
+
+def is_repeatable(workflow: Workflow | WorkflowView, index: int, undo: bool, time: int) -> bool:
+    """Returns whether a step, or its undo, may be sent again though a try of it may have run.
 
-    A non-retriable step never is; a deduplicated one only while units surely remember its first try.
+    A non-retriable one never is; a deduplicated one only while units surely remember its first try, unless it
+    is an undo that does no harm however late it runs.
     """
-    send = workflow.definition.steps[index].send
+    step = workflow.definition.steps[index]
+    send = step.undo if undo else step.send
     if send.repeat == NON_RETRIABLE:
         return False
-    first_intended_at = workflow.steps[index].first_intended_at
-    return send.repeat != DEDUPED or time + send.timeout <= first_intended_at + send.memory
+    if send.repeat != DEDUPED or (undo and step.harmless):
+        return True
+    progress = workflow.steps[index]
+    first_intended_at = progress.first_undo_intended_at if undo else progress.first_intended_at
+    return first_intended_at > 0 and time + send.timeout <= first_intended_at + send.memory
+
+
+def may_send(workflow: Workflow | WorkflowView, index: int, undo: bool, time: int) -> bool:
+    """Returns whether a further try of a step, or of its undo, is sure to take effect once at most."""
+    return not may_have_run(workflow.steps[index], undo) or is_repeatable(workflow, index, undo, time)
 
 
 def can_be_unknown(workflow: Workflow | WorkflowView, index: int, undo: bool, time: int) -> bool:
@@ -339,6 +367,9 @@
     _set_step_state(workflow, command.step, UNDO_INTENDED if command.undo else INTENDED)
     step.intended_by = owner
     if command.undo:
+        if not may_have_run(step, True):
+            # Units remember the first try that may reach them; those before it surely never ran.
+            step.first_undo_intended_at = max(state.time, 1)
         step.undo_tries = tried
     else:
         step.tries = tried
@@ -353,7 +384,7 @@
     """Steps are sent only forward, in order, one at a time; a non-retriable one is sent once."""
     step = workflow.steps[index]
     once = workflow.definition.steps[index].send.repeat == NON_RETRIABLE
-    spent = step.tries and (once or (step.maybe_ran and not is_repeatable(workflow, index, state.time)))
+    spent = step.tries and (once or not may_send(workflow, index, False, state.time))
     if workflow.state != FORWARD or index != current_step(workflow) or step.state == INTENDED or spent:
         raise OutOfOrderError(
             _name_of(workflow),
@@ -363,13 +394,14 @@
 
 
 def _check_undo(state: State, workflow: Workflow, index: int) -> None:
-    """Only the last step that may have run is undone, and only once no step is in flight."""
+    """Only the last step that may have run is undone, once no step is in flight, and never twice."""
     pending = any(step.state in (INTENDED, UNDO_INTENDED) for step in workflow.steps)
     if (
         workflow.state != UNDOING
         or pending
         or index != step_to_undo(workflow)
         or workflow.definition.steps[index].undo is None
+        or not may_send(workflow, index, True, state.time)
     ):
         raise OutOfOrderError(
             _name_of(workflow),
@@ -384,15 +416,8 @@
         raise UnreadableError(_name_of(workflow), fault="outcome")
     step = workflow.steps[command.step]
     tries, expected_state = (step.undo_tries, UNDO_INTENDED) if command.undo else (step.tries, INTENDED)
-    no_longer_repeatable = (
-        not command.undo
-        and step.state == MAYBE
-        and command.outcome == forms.UNKNOWN
-        and passed_no_return(workflow)
-        and workflow.state == FORWARD
-        and not is_repeatable(workflow, command.step, state.time)
-    )
-    if command.tried != tries or not (step.state == expected_state or no_longer_repeatable):
+    gives_up = command.outcome == forms.UNKNOWN and _can_give_up(workflow, command, state.time)
+    if command.tried != tries or not (step.state == expected_state or gives_up):
         raise OutOfOrderError(
             _name_of(workflow),
             state=f"step {command.step} {step.state}, try {tries}",
@@ -410,6 +435,16 @@
     return (workflow.state,)
 
 
+def _can_give_up(workflow: Workflow, command: forms.Result, time: int) -> bool:
+    """Returns whether a step, or its undo, is awaiting a further try that may no longer be sent."""
+    step = workflow.steps[command.step]
+    if command.undo:
+        is_awaiting = workflow.state == UNDOING and step.state == UNDO_DUE
+    else:
+        is_awaiting = workflow.state == FORWARD and step.state == MAYBE and passed_no_return(workflow)
+    return is_awaiting and not may_send(workflow, command.step, command.undo, time)
+
+
 def _apply_outcome(state: State, workflow: Workflow, index: int, outcome: str) -> None:
     step = workflow.steps[index]
     definition = workflow.definition.steps[index]
@@ -441,7 +476,7 @@
     definition = workflow.definition.steps[index]
     once = definition.send.repeat == NON_RETRIABLE
     harmless = definition.fails == definitions.HARMLESS
-    if to == MAYBE and not is_repeatable(workflow, index, state.time):
+    if to == MAYBE and not is_repeatable(workflow, index, False, state.time):
         if harmless or once:
             _set_step_state(workflow, index, SPENT)
         else:
@@ -467,8 +502,11 @@
 
 def _apply_undo_outcome(state: State, workflow: Workflow, index: int, outcome: str) -> None:
     step = workflow.steps[index]
+    step.undo_maybe_ran |= outcome == forms.UNKNOWN
     _set_step_state(workflow, index, STEP_UNDONE if outcome == forms.COMPLETED else UNDO_DUE)
-    if step.state == UNDO_DUE and step.undo_tries >= step.allowed_tries:
+    if step.state == UNDO_DUE and (
+        step.undo_tries >= step.allowed_tries or not may_send(workflow, index, True, state.time)
+    ):
         _set_state(state, workflow, STUCK)
 
 
@@ -610,10 +648,18 @@
         workflow.state,
         workflow.leave_reason,
         workflow.ended_at,
-        [list(_step_view(step)) for step in workflow.steps],
+        [step_to_plain(_step_view(step)) for step in workflow.steps],
     ]
 
 
+def step_to_plain(step: StepView) -> list[int | str]:
+    """Returns the fields of a step, without those added later as long as its undo is not intended.
+
+    So a version from before them reads all other steps, and what it has written is written again unchanged.
+    """
+    return list(step if step.first_undo_intended_at else step[:UNDO_FIELDS_INDEX])
+
+
 def from_plain(plain: list) -> Workflows:
     """Returns what `to_plain` was given. Raises ValueError, TypeError or LookupError."""
     workflows = Workflows()
@@ -657,5 +703,7 @@
             step.maybe_ran,
             step.intended_by,
             step.first_intended_at,
-        ) = plain_step
+            step.undo_maybe_ran,
+            step.first_undo_intended_at,
+        ) = StepView(*plain_step)
     return workflow
--- a/laurelcourse/fleet/errors.py
+++ b/laurelcourse/fleet/errors.py
@@ -322,19 +322,25 @@
 
 
 class UndoStuckError(FleetError):
-    """An undo has failed as often as it may be tried."""
+    """An undo has failed as often as it may be tried, or may have run and can't be sent again."""
 
     code = "undo_stuck"
     problem = "step {step} can't be undone after {tries} tries"
-    remedy = "undo it by hand at its unit, then tell the books; the steps before it wait until then"
+    remedy = (
+        "look whether its undo ran, else undo it by hand at its unit, then tell the books; "
+        "the steps before it wait until then"
+    )
 
 
 class StepStuckError(FleetError):
-    """A step after the point of no return has failed as often as it may be tried."""
+    """A step after the point of no return has failed as often as it may be tried, or may have run."""
 
     code = "step_stuck"
     problem = "step {step}, behind the point of no return, can't be done after {tries} tries"
-    remedy = "do it by hand at its unit, then tell the books; the steps after it wait until then"
+    remedy = (
+        "look whether it ran, else do it by hand at its unit, then tell the books; "
+        "the steps after it wait until then"
+    )
 
 
 class NoSuchWorkflowError(FleetError):
--- a/laurelcourse/fleet/workflows/definition.py
+++ b/laurelcourse/fleet/workflows/definition.py
@@ -188,7 +188,11 @@
 
 
 def _is_repeatable(rule: RouteRule, definition: Definition, send: Send) -> bool:
-    """Returns whether all tries are within the time for which a unit recognizes a repeat."""
+    """Returns whether all tries of one owner are within the time for which a unit recognizes a repeat.
+
+    Takeovers and waits for the keepers are not foreseen here: before each try the state machine looks at the
+    time that has passed (`books.workflows.may_send`).
+    """
     longest = definition.tries * send.timeout + definition.max_total_back_off()
     return rule.repeat == RETRIABLE or (rule.repeat == DEDUPED and longest <= rule.memory)
 
--- a/laurelcourse/fleet/workflows/run.py
+++ b/laurelcourse/fleet/workflows/run.py
@@ -160,15 +160,24 @@
         if view.state == books.FORWARD:
             return self._next_forward(now, view)
         if view.state == books.UNDOING:
-            index = books.step_to_undo(view)
-            tried = view.steps[index].undo_tries
-            if not may_undo():
-                self._back_off(now, view, tried)
-                return None
-            return forms.Intend(self.number, index, True, tried + 1)
+            return self._next_undo(now, view, may_undo)
         self._set_state(WAITING, now + view.definition.longest)  # stuck: an operator has to settle it
         return None
 
+    def _next_undo(self, now: int, view: WorkflowView, may_undo: Callable[[], bool]) -> OwnerCommand | None:
+        index = books.step_to_undo(view)
+        tried = view.steps[index].undo_tries
+        if not books.may_send(view, index, True, self._books_time(now, view)):
+            return forms.Result(self.number, index, True, tried, forms.UNKNOWN)
+        if not may_undo():
+            self._back_off(now, view, tried)
+            return None
+        return forms.Intend(self.number, index, True, tried + 1)
+
+    def _books_time(self, now: int, view: WorkflowView) -> int:
+        """Returns the state machine's time as far as the owner knows it; the true one may be later."""
+        return view.owned_since + now - self._owned_since
+
     def _unknown_result(self, now: int, view: WorkflowView, index: int, undo: bool) -> forms.Result | None:
         definition = view.definition.steps[index]
         step = view.steps[index]
@@ -185,8 +194,7 @@
         out_of_tries = step.tries >= step.allowed_tries
         if not books.passed_no_return(view) and (self._is_late(now, view, index) or out_of_tries):
             return forms.Leave(self.number, self._leave_reason(out_of_tries))
-        books_time = view.owned_since + now - self._owned_since
-        if step.maybe_ran and not books.is_repeatable(view, index, books_time):
+        if not books.may_send(view, index, False, self._books_time(now, view)):
             return forms.Result(self.number, index, False, step.tries, forms.UNKNOWN)
         return forms.Intend(self.number, index, False, step.tries + 1)
 
--- a/laurelcourse/fleet/workflows/views.py
+++ b/laurelcourse/fleet/workflows/views.py
@@ -16,7 +16,7 @@
     if view is None:
         return ()
     definition = definitions.to_plain(view.definition)
-    return _to_tuples(view._replace(definition=definition, steps=tuple(map(tuple, view.steps))))
+    return _to_tuples(view._replace(definition=definition, steps=tuple(map(books.step_to_plain, view.steps))))
 
 
 def _to_tuples(value: object) -> object:
--- a/laurelcourse/standins/holds.py
+++ b/laurelcourse/standins/holds.py
@@ -3,6 +3,7 @@
 What took effect is known from them alone, never from relays.
 """
 
+import math
 import re
 import socket
 import struct
@@ -29,10 +30,13 @@
 class Ledger:
     """What all units together have done.
 
-    A key that was carried out once is not carried out again, except for notices, which are not deduplicated.
+    A key that was carried out once is not carried out again as long as its route's repeats are known, except
+    for notices, which are not deduplicated.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, memory_seconds: dict[str, float] | None = None) -> None:
+        """`memory_seconds`: by route, for how long repeats are known; without an entry for good."""
+        self.memory_seconds = memory_seconds or {}
         self.lock = threading.Lock()
         self.effects: list[Effect] = []
         self.received: list[Effect] = []  # every statement, whatever became of it
@@ -50,12 +54,14 @@
         with self.lock:
             self.received.append(effect)
             answer = self.answers.get(name, "ok")
-            if answer in ("ok", "reset") and (
-                effect.kind == "notice" or all(other.key != effect.key for other in self.effects)
-            ):
+            memory = self.memory_seconds.get(fields.get("c", ""), math.inf)
+            if answer in ("ok", "reset") and (effect.kind == "notice" or self._is_new(effect, memory)):
                 self.effects.append(effect)
             return answer, self.delays.get(name, 0.0)
 
+    def _is_new(self, effect: Effect, memory: float) -> bool:
+        return all(other.key != effect.key or effect.at - other.at > memory for other in self.effects)
+
     def effects_on(self, thing: str) -> list[str]:
         """Returns the kinds of effects on a thing, in order."""
         with self.lock:
--- a/tests/test_fleet_workflow_processes.py
+++ b/tests/test_fleet_workflow_processes.py
@@ -31,17 +31,34 @@
 from laurelcourse.standins.base import RELAY_HOST, wait_until
 from laurelcourse.standins.directory import DirectoryStandIn
 from laurelcourse.standins.holds import Effect, HoldingUnit, Ledger
-from laurelcourse.standins.settings import PLATFORM_SETTINGS, relay_config
+from laurelcourse.standins.settings import PLATFORM_SETTINGS, relay_config, route_settings
 
 FLOWS = re.search("<workflow .*</workflow>", (ROOT / "deploy/fleet.xml").read_text(), re.DOTALL).group()
 FLOWS = FLOWS.replace('tries="6"', 'tries="3"').replace('longest-back-off="5s"', 'longest-back-off="300ms"')
 FLOWS = FLOWS.replace('timeout="2s"', 'timeout="700ms"')
 WAIT = 12.0
+# Units know repeats of this route for less than a lease, so that no takeover comes in time for one.
+BRIEF_ROUTE, BRIEF_SECONDS = "brief", 1.0
+PLATFORM = PLATFORM_SETTINGS | {
+    "classes": [
+        *PLATFORM_SETTINGS["classes"],
+        route_settings(BRIEF_ROUTE, "deduplicated") | {"memory_span": BRIEF_SECONDS * 1000},
+    ]
+}
+HARMFUL_FLOW = """<workflow name="order" timeout="8s" tries="2" back-off="100ms" longest-back-off="100ms">
+    <step name="room" route="brief" statement="SELECT blob FROM rows WHERE handle = 'hold.room.{room}'"
+          timeout="400ms">
+      <undo route="brief" statement="SELECT blob FROM rows WHERE handle = 'free.room.{room}'" timeout="400ms"
+            harmless="false"/>
+    </step>
+    <step name="device" route="mark" statement="SELECT blob FROM rows WHERE handle = 'hold.device.{device}'"
+          timeout="700ms" no-return="true"/>
+  </workflow>"""
 
 
 class Fleet:
     def __init__(self, folder: Path) -> None:
-        self.ledger = Ledger()
+        self.ledger = Ledger({BRIEF_ROUTE: BRIEF_SECONDS})
         self.units, directory = [HoldingUnit(self.ledger) for _ in range(3)], DirectoryStandIn()
         for place, unit in enumerate(self.units):
             directory.put(f"u-{place}", unit.address)
@@ -49,7 +66,8 @@
             folder,
             {"k1": "a", "k2": "b", "k3": "c"},
             {"m1": "a", "m2": "b"},
-            workflows_xml=FLOWS,
+            platform_settings=PLATFORM,
+            workflows_xml=FLOWS + HARMFUL_FLOW,
             known=directory.full_list(),
             directory=directory.address,
         )
@@ -192,6 +210,30 @@
     )
 
 
+def test_an_undo_that_may_have_run_is_not_sent_again_by_the_next_owner_after_its_memory(fleet: Fleet) -> None:
+    """Guards against an undo that takes effect twice: its owner is killed, units forget its key meanwhile."""
+    values = {"room": "r-twice", "device": "d-twice"}
+    fleet.ledger.answers["hold.device.d-twice"] = "syntax"
+    fleet.ledger.delays["free.room.r-twice"] = 0.3
+    client = fleet.client("m2")
+    thread = threading.Thread(target=lambda: client.start("order", "firm", "twice", values, 6.0))
+    thread.start()
+    wait_until(lambda: fleet.ledger.count_received("free.room.r-twice"))
+    fleet.host.nodes["m2"].restart()
+    thread.join()
+    other = fleet.client("m1")
+
+    def state() -> str:
+        return other.start("order", "firm", "twice", values, 1.0).state
+
+    assert wait_until(lambda: state() in ("stuck", UNDONE), 20)
+    assert fleet.ledger.effects_on("room.r-twice") == ["hold", "free"]
+    assert state() == "stuck"
+    assert any("fault=undo_stuck" in node.log.read_text() for node in fleet.host.nodes.values())
+    number = other.start("order", "firm", "twice", values, 0.2).number
+    assert other.settle(number, 0, "by_hand").answer == UNDONE
+
+
 # Without processes
 
 SEND = d.Send("mark", "x{a}", 5, "deduplicated", 9)
--- a/tests/test_fleet_workflows.py
+++ b/tests/test_fleet_workflows.py
@@ -1,14 +1,16 @@
 """Workflows: the books' rules by script, and owners that die, pause and wake at every point."""
 
+import json
 from collections.abc import Callable
 from functools import partial
+from hashlib import blake2b
 from typing import NamedTuple
 
 import pytest
 
 from laurelcourse.fleet.books import forms as f
 from laurelcourse.fleet.books import workflows as w
-from laurelcourse.fleet.books.apply import Books
+from laurelcourse.fleet.books.apply import HASH_BYTES, Books
 from laurelcourse.fleet.errors import ERRORS_BY_CODE
 from laurelcourse.fleet.workflows import definition as d
 from laurelcourse.fleet.workflows import run as r
@@ -44,7 +46,16 @@
 KEYED = SHORT._replace(
     steps=(hold("room"), COMMIT._replace(send=COMMIT.send._replace(repeat=DEDUPED, memory=500 * MS)), NOTICE)
 )
-LISTS = {"booking": BOOKING, "short": SHORT, "keyed": KEYED, "none": SHORT._replace(steps=())}
+PAID_STEP = hold("room")._replace(undo=UNDO._replace(repeat=DEDUPED, memory=500 * MS))
+PAID = SHORT._replace(steps=(PAID_STEP, COMMIT, NOTICE))
+LISTS = {
+    "booking": BOOKING,
+    "short": SHORT,
+    "keyed": KEYED,
+    "paid": PAID,
+    "harmless": PAID._replace(steps=(PAID_STEP._replace(harmless=True), COMMIT, NOTICE)),
+    "none": SHORT._replace(steps=()),
+}
 OUTCOMES = {"ok": f.COMPLETED, "never": f.NEVER_RAN, "unknown": f.UNKNOWN, "failed": f.FAILED}
 
 # `begin WHO MARK NAME`, `do WHO STEP TRY [OUTCOME]`, `undo ..`: with an outcome the result, else the intent
@@ -159,6 +170,75 @@
     assert it.say("do a 2 1")
 
 
+def test_an_undo_that_may_have_run_is_not_repeated_after_its_memory() -> None:
+    """Guards against an undo that is sent again when units no longer know its key."""
+    it = Script("paid")
+    for order in ("do a 0 1", "do a 0 1 ok", "leave a", "undo a 0 1"):
+        it.say(order)
+    it.say("lapse 1"), it.say("adopt b 1")
+    it.at = 400 * MS + 21
+    assert it.say("undo b 0 1 unknown") == "stuck"
+    assert it.say("settle a 0 again") == "lapsed_lease" and it.say("settle b 0 again") == "undoing"
+    assert it.say("undo b 0 2") == "out_of_order" and it.say("undo b 0 1 unknown") == "stuck"
+    assert it.say("settle b 0 by_hand") == "undone"
+
+
+PAID_ORDERS = ("do a 0 1", "do a 0 1 ok", "leave a", "undo a 0 1")
+
+
+@pytest.mark.parametrize(
+    ("kind", "first", "at", "answer"),
+    [
+        ("paid", "undo a 0 1 unknown", 400 * MS + 20, ""),
+        ("paid", "undo a 0 1 unknown", 400 * MS + 21, "out_of_order"),
+        ("paid", "undo a 0 1 never", 4_000 * MS, ""),
+        ("paid", "undo a 0 1 failed", 4_000 * MS, ""),
+        ("harmless", "undo a 0 1 unknown", 4_000 * MS, ""),
+        ("short", "undo a 0 1 unknown", 4_000 * MS, ""),
+    ],
+    ids=["in time", "too late", "never ran", "failed", "harmless", "retriable"],
+)
+def test_until_when_an_undo_is_sent_again(kind: str, first: str, at: int, answer: str) -> None:
+    it = scripted(kind, *PAID_ORDERS, first)
+    it.at = at
+    run = r.WorkflowRun(1, Prng(1))
+    # The owner asks as its books say: for a further try, or that the operator is told.
+    owned_at = it.books.workflow(1).owned_since
+    assert run.step(0, it.books.workflow(1), 1, True, lambda: False) == () and run.state == r.WAITING
+    (write,) = run.step(at - owned_at, it.books.workflow(1), 1, True, lambda: True)
+    assert type(write.command) is (f.Result if answer else f.Intend)
+    code = it.say("undo a 0 2")
+    assert (code if code in ERRORS_BY_CODE else "") == answer
+    if answer:
+        assert it.do("a", write.command).value == ("stuck",)
+
+
+def test_units_know_an_undo_from_its_first_try_that_may_have_run() -> None:
+    it = scripted("paid", *PAID_ORDERS, "undo a 0 1 never")
+    it.at = 4_000 * MS
+    assert it.say("undo a 0 2") not in ERRORS_BY_CODE and it.say("undo a 0 2 unknown") == "undoing"
+    it.at += 400 * MS
+    assert it.say("undo a 0 3") not in ERRORS_BY_CODE and it.say("undo a 0 3 never") == "stuck"
+
+
+def snapshot_of_former_version(books: Books) -> bytes:
+    """Returns the snapshot as it was written before steps had the fields of their undo."""
+    plain = json.loads(books.snapshot())[:-1]
+    for workflow in plain[9][3]:
+        workflow[11] = [step[: w.UNDO_FIELDS_INDEX] for step in workflow[11]]
+    data = json.dumps(plain, separators=(",", ":")).encode()
+    digest = blake2b(data, digest_size=HASH_BYTES).hexdigest()
+    return data[:-1] + f',"{digest}"]'.encode()
+
+
+def test_an_undo_begun_before_its_time_was_recorded_may_have_run() -> None:
+    """Guards against a snapshot of a former version, which says nothing of when an undo was first sent."""
+    it = scripted("paid", *PAID_ORDERS, "undo a 0 1 failed")
+    it.books = Books.from_snapshot(snapshot_of_former_version(it.books))
+    assert it.say("undo a 0 2") == "out_of_order" and it.say("undo a 0 1 unknown") == "stuck"
+    assert Books.from_snapshot(it.books.snapshot()).hash() == it.books.hash()
+
+
 @pytest.mark.parametrize(
     "template, out", [("A {a}", "A {b}"), ("{b}{c}", "2{c}"), ("{a", "{a"), ("a}", "a}")]
 )
