A repeat counts its time from when its owner asked, not from when the books' answer came

Found by reading, as a kin of the undo that ran twice; shown by tests with scripted time, not seen with processes. The books allow a repeat as they apply its intent; WorkflowRun._send took now + timeout, so the way of the answer and any pause of the owner, up to what is left of its lease (12 s), lay between, where units may remember the first try for 2 s. The lease is no guard: the owner is still the owner. LeasedTries.begin looked at it before a connection came up, and nothing looked again.

Change: the books' answer to the intent of a repeat says how long it may be sent (repeatable_for); the owner counts that from when it asked, as leases are counted. What comes later is not sent, and recorded as never run. Lease and end of the time are asked again right before bytes are written (the hook that fronts use for clients that leave).

Why it holds: the owner asked before the books applied, so its end is no later than theirs.

--- a/laurelcourse/fleet/books/workflows.py
+++ b/laurelcourse/fleet/books/workflows.py
@@ -95,6 +95,7 @@
     first_undo_intended_at: int = 0
 
 
+UNBOUNDED = MAX_AMOUNT  # of a time within which something may be repeated
 UNDO_FIELDS_INDEX = StepView._fields.index("undo_maybe_ran")  # those from here on are of the undo
 
 
@@ -198,21 +199,28 @@
     return bool(step.undo_maybe_ran or (step.undo_tries and not step.first_undo_intended_at))
 
 
-def is_repeatable(workflow: Workflow | WorkflowView, index: int, undo: bool, time: int) -> bool:
-    """Returns whether a step, or its undo, may be sent again though a try of it may have run.
+def repeatable_for(workflow: Workflow | WorkflowView, index: int, undo: bool, time: int) -> int:
+    """Returns for how long after `time` units surely drop a repeat of a step, or of its undo, or need not.
 
-    A non-retriable one never is; a deduplicated one only while units surely remember its first try, unless it
-    is an undo that does no harm however late it runs.
+    That is 0 for a non-retriable one, UNBOUNDED for a retriable one and for an undo that does no harm however
+    late it runs. Units remember a deduplicated one from its first try on.
     """
     step = workflow.definition.steps[index]
     send = step.undo if undo else step.send
     if send.repeat == NON_RETRIABLE:
-        return False
+        return 0
     if send.repeat != DEDUPED or (undo and step.harmless):
-        return True
+        return UNBOUNDED
     progress = workflow.steps[index]
     first_intended_at = progress.first_undo_intended_at if undo else progress.first_intended_at
-    return first_intended_at > 0 and time + send.timeout <= first_intended_at + send.memory
+    return max(first_intended_at + send.memory - time, 0) if first_intended_at else 0
+
+
+def is_repeatable(workflow: Workflow | WorkflowView, index: int, undo: bool, time: int) -> bool:
+    """Returns whether a try that begins now, of what may have run, ends while its repeats are dropped."""
+    step = workflow.definition.steps[index]
+    send = step.undo if undo else step.send
+    return repeatable_for(workflow, index, undo, time) >= send.timeout
 
 
 def may_send(workflow: Workflow | WorkflowView, index: int, undo: bool, time: int) -> bool:
@@ -357,6 +365,7 @@
 
 
 def _intend(state: State, owner: int, command: forms.Intend) -> tuple:
+    """Returns the try's id and key; if it repeats one that may have run, also how long it may be sent."""
     workflow = _find_owned(state, owner, command)
     step = workflow.steps[command.step]
     tried = command.tried
@@ -374,10 +383,13 @@
     else:
         step.tries = tried
         step.first_intended_at = step.first_intended_at or max(state.time, 1)
-    return (
+    names = (
         req_id(command.workflow, command.step, command.undo, tried),
         deduplication_key(command.workflow, command.step, command.undo),
     )
+    if not may_have_run(step, command.undo):
+        return names
+    return (*names, repeatable_for(workflow, command.step, command.undo, state.time))
 
 
 def _check_send(state: State, workflow: Workflow, index: int) -> None:
--- a/laurelcourse/fleet/workflows/engine.py
+++ b/laurelcourse/fleet/workflows/engine.py
@@ -369,14 +369,15 @@
         own_session = self.own_session
         time_left = send.until - self.clock()
 
-        def has_lease() -> bool:
-            return own_session == self.own_session and self._has_lease(self.clock())
+        def may_send() -> bool:
+            now = self.clock()
+            return own_session == self.own_session and self._has_lease(now) and now < send.until
 
         def on_outcome(outcome: str) -> None:
             workflow_run.on_outcome(self.clock(), intent, outcome)
             self.post_or_drop(len, ())  # wakes the task
 
-        self.sender.send(send, time_left, intent.tried > 1, has_lease, on_outcome)
+        self.sender.send(send, time_left, intent.tried > 1, may_send, on_outcome)
 
     def _answer_clients(self, now: int) -> None:
         for until, on_answer in [entry for entry in self.starting if entry[0] <= now]:
--- a/laurelcourse/fleet/workflows/run.py
+++ b/laurelcourse/fleet/workflows/run.py
@@ -31,8 +31,8 @@
 class SendReq(NamedTuple):
     """Send a req that is given up at `until`; `on_outcome` is called with its outcome.
 
-    That is one of COMPLETED, NEVER_RAN, UNKNOWN, FAILED. The sender checks the lease once more when it writes
-    the req to a unit.
+    That is one of COMPLETED, NEVER_RAN, UNKNOWN, FAILED. The sender checks the lease and `until` once more
+    when it writes the req to a unit.
     """
 
     id: str
@@ -76,6 +76,7 @@
 
     __slots__ = (
         "_answer_by",
+        "_asked_at",
         "_command",
         "_owned_since",
         "_result",
@@ -93,6 +94,7 @@
         self._rng = rng
         self._answer_by = answer_by  # below 0: the client has left
         self._command: OwnerCommand | None = None  # being submitted
+        self._asked_at = 0  # when it was submitted
         self._sent: tuple[forms.Intend, int] | None = None  # the try that this run sent, and until when
         self._result: forms.Result | None = None  # known, but not recorded yet
         self._wake_at = 0
@@ -146,6 +148,7 @@
         if command is None:
             return ()
         self._command = command
+        self._asked_at = now
         self._set_state(SUBMITTING)
         return (SubmitCommand(command),)
 
@@ -231,7 +234,7 @@
                 self._back_off(now, view, 0)
             return ()
         if type(command) is forms.Intend and view is not None and has_lease and view.owner == own_session:
-            return (self._send(now, command, result, view),)
+            return self._send(now, command, result, view)
         if type(command) is forms.Intend:
             # Nothing was sent, but an owner without a lease may not record that: it stays unknown.
             self._set_state(READY)
@@ -241,14 +244,25 @@
             self._set_state(READY)
         return ()
 
-    def _send(self, now: int, intent: forms.Intend, result: forms.Done, view: WorkflowView) -> SendReq:
+    def _send(
+        self, now: int, intent: forms.Intend, result: forms.Done, view: WorkflowView
+    ) -> tuple[Effect, ...]:
+        """Returns the req of a try, unless the books' answer came too late for a repeat.
+
+        Units remember the first try for as long as the books say. That counts from when this relay asked, as
+        a lease does: the books answered later, and the answer may have been on its way for long.
+        """
         definition = view.definition.steps[intent.step]
         send = definition.undo if intent.undo else definition.send
-        until = now + send.timeout
+        req_id, key, *repeatable_for = result.value
+        until = min([now + send.timeout, *(self._asked_at + time for time in repeatable_for)])
+        if until <= now:
+            self._result = forms.Result(*intent, forms.NEVER_RAN)
+            self._set_state(READY)
+            return ()
         self._sent = intent, until
         self._set_state(SENDING, until)
-        req_id, key = result.value
-        return SendReq(req_id, key, send.route, fill(send.statement, view.values), until)
+        return (SendReq(req_id, key, send.route, fill(send.statement, view.values), until),)
 
     def on_outcome(self, now: int, intent: forms.Intend, outcome: str) -> None:
         """Takes the outcome of a req; ignored once it was called unknown."""
--- a/laurelcourse/fleet/workflows/step_sender.py
+++ b/laurelcourse/fleet/workflows/step_sender.py
@@ -1,7 +1,8 @@
 """Sends the steps of workflows as ordinary reqs, through the dispatcher and the Balancer with all its rules.
 
-Two checks guard against a late try: the lease is checked when the Balancer sends one, and no try is written
-at or after the end of the step's time (`net/tries.py`), after which a new owner may call it unknown.
+The lease and the end of the step's time guard against a late try: after them a new owner may call it unknown,
+and units may have forgotten its key. Both are checked when the Balancer sends a try, and right before its
+bytes are written.
 """
 
 from collections.abc import Callable
@@ -34,18 +35,18 @@
         self.mailbox.put(item)
 
 
-class LeasedTries:
-    """Runs tries of reqs whose sender must have a valid lease when they are sent."""
+class GuardedTries:
+    """Runs tries of reqs whose sender is asked, for each one, whether it may still send."""
 
     def __init__(self, tries: TryRunner) -> None:
         self.tries = tries
-        self.has_lease: dict[str, Callable[[], bool]] = {}  # by req
+        self.may_send: dict[str, Callable[[], bool]] = {}  # by req
         self.statuses: dict[str, list[str]] = {}  # by req: of its tries
 
     def begin(self, number: int, unit: int, limit: int, statement: Statement, box: Mailbox) -> UpstreamTry:
-        """Begins a try, or reports it as unsent without a lease."""
+        """Begins a try, or reports it as unsent."""
         recording = RecordingMailbox(box, self.statuses[statement.req])
-        if not self.has_lease[statement.req]():
+        if not self.may_send[statement.req]():
             return self.tries.report_unsent(number, unit, recording)
         return self.tries.begin(number, unit, limit, statement, recording)
 
@@ -84,7 +85,7 @@
         self.scheduler = scheduler
         self.counters = counters
         self.repeat_policies = repeat_policies
-        self.tries = LeasedTries(tries)
+        self.tries = GuardedTries(tries)
         self.lifecycle = ReqLifecycle(scheduler, dispatcher, self.tries, counters)
 
     def send(
@@ -92,36 +93,36 @@
         send: SendReq,
         time_left: int,
         is_repeat: bool,
-        has_lease: Callable[[], bool],
+        may_send: Callable[[], bool],
         on_outcome: Callable[[str], None],
     ) -> None:
         """Sends a step; a task of the scheduler calls `on_outcome`, once. `time_left` is in microseconds."""
-        self.scheduler.spawn(self._send, send, time_left, is_repeat, has_lease, on_outcome)
+        self.scheduler.spawn(self._send, send, time_left, is_repeat, may_send, on_outcome)
 
     def _send(
         self,
         send: SendReq,
         time_left: int,
         is_repeat: bool,
-        has_lease: Callable[[], bool],
+        may_send: Callable[[], bool],
         on_outcome: Callable[[str], None],
     ) -> None:
         outcome = UNKNOWN
         try:
-            outcome = self._run_req(send, time_left, is_repeat, has_lease)
+            outcome = self._run_req(send, time_left, is_repeat, may_send)
         finally:
             self.counters.add(f"flows.steps.{outcome}")
             on_outcome(outcome)
 
-    def _run_req(self, send: SendReq, time_left: int, is_repeat: bool, has_lease: Callable[[], bool]) -> str:
+    def _run_req(self, send: SendReq, time_left: int, is_repeat: bool, may_send: Callable[[], bool]) -> str:
         try:
             statement = build_statement(send, time_left, is_repeat)
         except ProtocolError:
             return FAILED
         box, answers = Mailbox(self.scheduler), Mailbox(self.scheduler)
         statuses = self.tries.statuses[statement.req] = []
-        self.tries.has_lease[statement.req] = has_lease
-        if not self.lifecycle.begin(statement, box, answers):
+        self.tries.may_send[statement.req] = may_send
+        if not self.lifecycle.begin(statement, box, answers, lambda: not may_send()):
             return UNKNOWN
         try:
             _, end, _ = answers.get()
@@ -133,4 +134,4 @@
 
     def _forget(self, name: str) -> None:
         self.tries.statuses.pop(name, None)
-        self.tries.has_lease.pop(name, None)
+        self.tries.may_send.pop(name, None)
--- a/laurelcourse/lab/guards.py
+++ b/laurelcourse/lab/guards.py
@@ -253,13 +253,13 @@
     request: "SendReq",
     time_left: int,
     is_repeat: bool,
-    has_lease: Callable[[], bool],
+    may_send: Callable[[], bool],
     on_outcome: Callable[[str], None],
 ) -> None:
     if ".undo" in request.key:
         on_outcome("completed")
     else:
-        send(request, time_left, is_repeat, has_lease, on_outcome)
+        send(request, time_left, is_repeat, may_send, on_outcome)
 
 
 def _send_notices_twice(
@@ -268,13 +268,13 @@
     request: "SendReq",
     time_left: int,
     is_repeat: bool,
-    has_lease: Callable[[], bool],
+    may_send: Callable[[], bool],
     on_outcome: Callable[[str], None],
 ) -> None:
     if "notice." in request.statement:
         again = request._replace(id=request.id + "b")
-        send(again, time_left, is_repeat, has_lease, lambda _: None)
-    send(request, time_left, is_repeat, has_lease, on_outcome)
+        send(again, time_left, is_repeat, may_send, lambda _: None)
+    send(request, time_left, is_repeat, may_send, on_outcome)
 
 
 def _send_late_tries(
@@ -283,11 +283,11 @@
     request: "SendReq",
     time_left: int,
     is_repeat: bool,
-    has_lease: Callable[[], bool],
+    may_send: Callable[[], bool],
     on_outcome: Callable[[str], None],
 ) -> None:
     """Sends as an owner does that neither its lease nor its step's time holds back."""
-    send(request, time_left, is_repeat, has_lease, on_outcome)
+    send(request, time_left, is_repeat, may_send, on_outcome)
     late = request._replace(id=request.id + "late")
     sender.scheduler.after(time_left, lambda: send(late, time_left, is_repeat, lambda: True, lambda _: None))
 
--- a/tests/test_fleet_workflow_processes.py
+++ b/tests/test_fleet_workflow_processes.py
@@ -5,7 +5,7 @@
 import json
 import re
 import threading
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from pathlib import Path
 from types import SimpleNamespace
 
@@ -28,6 +28,7 @@
 from laurelcourse.lab import workflow_checks
 from laurelcourse.lab.cluster import UNREACHABLE_ADDRESS, Cluster
 from laurelcourse.net import req
+from laurelcourse.net.counters import Counters
 from laurelcourse.standins.base import RELAY_HOST, wait_until
 from laurelcourse.standins.directory import DirectoryStandIn
 from laurelcourse.standins.holds import Effect, HoldingUnit, Ledger
@@ -407,12 +408,12 @@
         def report_unsent(self, *_: object) -> None:
             begun.append("unsent")
 
-    owned, leases = step_sender.LeasedTries(Tries()), [True, False]
+    owned, leases = step_sender.GuardedTries(Tries()), [True, False]
     asked = step_sender.build_statement(
         step_sender.SendReq("i", "k", "mark", "SELECT blob FROM rows WHERE handle = 'a'", 0), 5000, True
     )
     assert asked.repeated and (asked.req, asked.mark, asked.left_ms) == ("i", "k", 5)
-    owned.statuses["i"], owned.has_lease["i"] = [], lambda: leases.pop(0)
+    owned.statuses["i"], owned.may_send["i"] = [], lambda: leases.pop(0)
     for number in range(2):
         owned.begin(number, 0, 9, asked, None)
     assert begun == ["sent", "unsent"]
@@ -443,3 +444,19 @@
     assert not look()
     lease[0], flows.own_session = True, 8
     assert not look()
+    flows.own_session = 7
+    now = itertools.count(4999)
+    assert look() and not look(), "nor is it sent once its time is over"
+
+
+def test_a_step_is_not_written_once_it_may_not_be_sent() -> None:
+    """Guards against a step sent by an owner that was paused, or lost its lease, as a connection came up."""
+    asked: list[Callable[[], bool]] = []
+    lifecycle = SimpleNamespace(begin=lambda _request, _box, _answers, has_left: asked.append(has_left))
+    sender = step_sender.StepSender(
+        SimpleNamespace(spawn=lambda task, *args: task(*args)), None, None, Counters(), {}
+    )
+    sender.lifecycle, may_send = lifecycle, [True, False]
+    request = step_sender.SendReq("i", "k", "mark", "SELECT blob FROM rows WHERE handle = 'a'", 0)
+    sender.send(request, 5000, False, lambda: may_send.pop(0), lambda _: None)
+    assert [asked[0](), asked[0]()] == [False, True], "asked as its bytes are written"
--- a/tests/test_fleet_workflows.py
+++ b/tests/test_fleet_workflows.py
@@ -221,6 +221,36 @@
     assert it.say("undo a 0 3") not in ERRORS_BY_CODE and it.say("undo a 0 3 never") == "stuck"
 
 
+@pytest.mark.parametrize(
+    ("answered_at", "until"),
+    [(0, 100 * MS), (350 * MS, 450 * MS), (399 * MS, 499 * MS), (420 * MS, 500 * MS), (500 * MS, 0)],
+)
+def test_a_repeat_is_not_sent_once_its_intents_answer_came_too_late(answered_at: int, until: int) -> None:
+    """Guards against a repeat that units no longer drop: the owner was paused as the books answered it."""
+    it = scripted("paid", *PAID_ORDERS, "undo a 0 1 unknown")
+    run, view = r.WorkflowRun(1, Prng(1)), it.books.workflow(1)
+    (write,) = run.step(0, view, 1, True, lambda: True)
+    result = it.do("a", write.command)
+    effects = run.on_result(answered_at, result, it.books.workflow(1), 1, True)
+    assert [effect.until for effect in effects] == ([until] if until else [])
+    assert result.value == ("w1.0.undo.2", "w1.0.undo", 500 * MS)
+    if not until:
+        (write,) = run.step(answered_at, it.books.workflow(1), 1, True, lambda: True)
+        assert write.command == f.Result(1, 0, True, 2, f.NEVER_RAN)
+        it.at = answered_at + it.books.time
+        assert it.do("a", write.command).value == ("stuck",)
+
+
+@pytest.mark.parametrize("kind", ["short", "harmless"])
+def test_a_repeat_that_does_no_harm_is_sent_however_late_its_answer_came(kind: str) -> None:
+    it = scripted(kind, *PAID_ORDERS, "undo a 0 1 unknown")
+    run = r.WorkflowRun(1, Prng(1))
+    (write,) = run.step(0, it.books.workflow(1), 1, True, lambda: True)
+    result = it.do("a", write.command)
+    (send,) = run.on_result(60_000 * MS, result, it.books.workflow(1), 1, True)
+    assert send.until == 60_100 * MS
+
+
 def snapshot_of_former_version(books: Books) -> bytes:
     """Returns the snapshot as it was written before steps had the fields of their undo."""
     plain = json.loads(books.snapshot())[:-1]
