--- a/laurelcourse/net/admission.py
+++ b/laurelcourse/net/admission.py
@@ -204,6 +204,7 @@
             elif reason == LATE and waiting is self.partial:
                 self.close_with_reply(client, unfinished_reply())
             elif reason == LATE:
+                # The wait may have been called late, by a process that was held up (`Connection.read`).
                 reason = conn.read_now()
             return reason in (MAIL, GOT)
         # A req of which any bytes have come is taken and answered before the connection closes, and so is the
--- a/laurelcourse/net/connection.py
+++ b/laurelcourse/net/connection.py
@@ -94,7 +94,8 @@
         """
         if not self.open or len(self.buffer) == self.buffer.max_size:
             return ENDED
-        # The relay may be late itself: bytes that came in time are read once more, and then no further.
+        # The process may be held up between reading its clock and acting, for up to 0.15 s by the platform's
+        # rules: bytes that came in time are read once more, and then no further.
         already_late = deadline is not None and self.scheduler.now() >= deadline
         reason = self.scheduler.wait(self.fd, READ, mailbox, deadline)
         if reason == MAIL or (reason == LATE and already_late):
--- a/laurelcourse/net/scheduler.py
+++ b/laurelcourse/net/scheduler.py
@@ -14,7 +14,7 @@
 READ = select.POLLIN
 WRITE = select.POLLOUT
 CLOSED = getattr(select, "POLLRDHUP", 0)  # the other side's close, even if bytes before it are unread
-MAX_SWITCHES = 128  # between two polls, each of which looks at every descriptor
+MAX_SWITCHES = 128  # between two polls, each a system call that looks at every descriptor
 MIN_CANCELLED = 256  # cancelled timers from which on the heap may be rebuilt
 
 # Why a wait ended.
