A call out of bounds is refused where it enters, and holds up no other workflow of its relay

Cause, four links: calls were not bounded; WorkflowEngine._submit took an error raised before anything was sent for a lost answer and gave all commands of that Submit to Session.lost; Session.orders sent them beside each Beat under the Beat's asking time, and failed() dropped that time with the Submit, so that each renewal's answer was passed over; the keepers went on renewing, so nobody adopted. Seen in the log: too_large to=Begin.mark and "keepers are back" in turn.

Change: books/bounds.py checks calls by the books' own bounds and refuses them by type, with field, size and bound. What Client.submit raises was not sent and is given again, fewer at once if too large; a command that can't go by itself returns to who gave it. Repeats have asking times of their own, go out in messages that fit, and are given back if they never can. A session whose renewals are answered but no command for two leases is given up (docs/fleet-books.md, One owner 5).

--- a/laurelcourse/fleet/calls/client.py
+++ b/laurelcourse/fleet/calls/client.py
@@ -14,7 +14,7 @@
 
 from google.protobuf.message import Message
 
-from laurelcourse.fleet.books.forms import Done
+from laurelcourse.fleet.books.forms import Command, Done
 from laurelcourse.fleet.calls import codec, fleet_pb2_grpc
 from laurelcourse.fleet.calls import fleet_pb2 as wire
 from laurelcourse.fleet.calls.channel import SECOND, Limits, NoAnswerError, RpcChannel
@@ -149,13 +149,17 @@
         self.logged_forwarder = ""  # the keeper that forwards orders, as logged last; empty: none
         self.lanes = {name: Lane(self, name) for name in ("submit", "renew", "ask")}
 
-    # None of these blocks; each may raise OverloadedError, TooLargeError, UnreadableError or StoppingError.
-    # `on_answer` is called once, by a thread of this module.
+    # None of these blocks; each may raise OverloadedError, TooLargeError, UnreadableError or StoppingError:
+    # nothing was sent then. Otherwise `on_answer` is called once, by a thread of this module.
 
     def submit(self, submit: Submit, on_answer: OnAnswer) -> None:
         """Sends commands for the books."""
         self._put("submit", "Submit", submit, on_answer)
 
+    def check_sendable(self, command: Command) -> None:
+        """Raises TooLargeError or UnreadableError for a command that can't be sent even by itself."""
+        self._to_payload(Submit((command,)))
+
     def renew(self, beat: Beat, on_answer: OnAnswer) -> None:
         """Renews the session's lease."""
         self._put("renew", "Renew", beat, on_answer)
@@ -179,10 +183,13 @@
             lane.thread.join(timeout / SECOND)
 
     def _put(self, lane: str, verb: str, form: object, on_answer: OnAnswer) -> None:
-        max_bytes = self.limits.message_bytes - HEAD_TEXTS * codec.MAX_TEXT_BYTES
-        payload = codec.check_size(codec.to_message(form), max_bytes)
+        payload = self._to_payload(form)
         self.lanes[lane].put(Order(verb, payload, on_answer, self.clock() + self.limits.order_timeout))
 
+    def _to_payload(self, form: object) -> Message:
+        max_bytes = self.limits.message_bytes - HEAD_TEXTS * codec.MAX_TEXT_BYTES
+        return codec.check_size(codec.to_message(form), max_bytes)
+
     def execute(self, order: Order, lane: Lane) -> Answer | FleetError:
         """Blocks until an order has its answer or its time is over, and returns that."""
         last_error: FleetError | None = None
--- a/laurelcourse/fleet/errors.py
+++ b/laurelcourse/fleet/errors.py
@@ -91,6 +91,14 @@
     remedy = "nothing was done with it; look for what else speaks to this address"
 
 
+class OutOfBoundsError(FleetError):
+    """A field of a client's or an operator's call is out of its bounds."""
+
+    code = "out_of_bounds"
+    problem = "{fault}"
+    remedy = "nothing was done with the call; mend this field and call again"
+
+
 class OtherVersionError(FleetError):
     """Two processes have no protocol version in common."""
 
--- a/laurelcourse/fleet/member.py
+++ b/laurelcourse/fleet/member.py
@@ -110,11 +110,12 @@
     def _answered(self, order: Submit | Beat, answer: Answer | FleetError) -> None:
         """Applies the answer to an order of the session."""
         now = self.clock()
+        is_repeat = isinstance(order, Submit)
         if isinstance(answer, FleetError):
-            self.session.failed(now, order.asked_at, answer.code)
+            self.session.failed(now, order.asked_at, answer.code, is_repeat)
             self._log_fault(answer)
         else:
-            self.session.answered(now, order.asked_at, answer)
+            self.session.answered(now, order.asked_at, answer, is_repeat)
             dones = answer if type(answer) is tuple else (answer,)
             for done in [done for done in dones if isinstance(done, Done) and done.code]:
                 self._log_fault(error_from_code(done.code, done.to, dict(done.told)))
--- a/laurelcourse/fleet/session.py
+++ b/laurelcourse/fleet/session.py
@@ -8,7 +8,18 @@
 
 from typing import NamedTuple
 
-from laurelcourse.fleet.books.forms import Close, Command, Done, Fence, GiveBack, Open, What
+from laurelcourse.fleet.books.forms import (
+    Begin,
+    Close,
+    Command,
+    Done,
+    Fence,
+    GiveBack,
+    Move,
+    Open,
+    Reserve,
+    What,
+)
 from laurelcourse.fleet.errors import LapsedLeaseError, OverloadedError
 from laurelcourse.fleet.orders import Answer, Beat, Renewed, Share, Submit, Terms
 from laurelcourse.prng import Prng
@@ -30,6 +41,10 @@
 }
 
 SESSION_OVER_CODES = ("lapsed_lease", "fenced_off")  # the keepers have ended the session
+UNSENDABLE_CODES = ("too_large", "unreadable")  # of a message that no repetition brings to the keepers
+MAX_REPEATED = 32  # commands of unknown fate in one message
+MAX_LARGE_REPEATED = 2  # of those, as each may hold a whole definition or plan
+BLOCKED_LEASES = 2  # without any result while renewals are answered, after which the session is given up
 REMEMBERED_MARKS = 64  # results that the state machine remembers for a session
 OPEN_MARK_BOUND = 1 << 31
 MAX_BACKOFF_DOUBLINGS = 5  # of the renew interval; never longer than a lease
@@ -67,7 +82,9 @@
         self.held: dict[str, Share] = {}
         self.given_back: dict[int, GivenBack] = {}  # by mark
         self.unknown: dict[int, Command] = {}  # commands of unknown fate, by mark
-        self.in_flight: dict[int, tuple[int, ...]] = {}  # marks of orders, by asking time
+        self.in_flight: dict[int, tuple[int, ...]] = {}  # marks of orders but repeats, by asking time
+        self.repeats: dict[int, tuple[int, ...]] = {}  # marks of commands that were repeated, by asking time
+        self.blocked_since: int | None = None  # from when on renewals are answered, and no command is
         self.results: list[tuple[Command, Done]] = []
 
     def _set_state(self, state: str) -> None:
@@ -85,6 +102,7 @@
         for mark in sorted(self.unknown):
             self.results.append((self.unknown[mark], Done(code="unknown_fate", to=self.name)))
         self.unknown, self.in_flight, self.held, self.given_back = {}, {}, {}, {}
+        self.repeats, self.blocked_since = {}, None
         self.fence, self.granted_at, self.mark = None, None, 0
         self.open_mark = 1 + self.rng.below(OPEN_MARK_BOUND)
 
@@ -138,42 +156,82 @@
         if self.state == AWAY:
             self._set_state(OPENING)
             self.first_asked = now
+        if self._is_blocked(now):
+            self._reopen(now)
         # An order that is never answered nor fails must not delay the next one for ever.
         self.next_at = now + (self.terms.lease if self.state == OPENING else self.terms.renew_interval)
-        self.in_flight = {
-            asked: marks for asked, marks in self.in_flight.items() if asked > now - 2 * self.terms.lease
-        }
+        self.in_flight = self._recent(self.in_flight, now)
+        self.repeats = self._recent(self.repeats, now)
         if self.state == OPENING:
             self.in_flight[now] = (self.open_mark,)
             return [Submit((Command(None, self.open_mark, Open(self.name, self.site)),), now)]
         if self.state == CLOSING:
             self.in_flight[now] = (self.mark,)
             return [Submit((Command(self.fence, self.mark, Close()),), now)]
-        self.in_flight[now] = tuple(sorted(self.unknown))
-        lost = tuple(self.unknown[mark] for mark in sorted(self.unknown))
-        return [Beat(self.fence, self.demands, now, self.uses), *([Submit(lost, now)] if lost else [])]
+        self.in_flight[now] = ()
+        beat = Beat(self.fence, self.demands, now, self.uses)
+        repeats = self._next_repeats()
+        if not repeats:
+            return [beat]
+        self.repeats[now] = tuple(command.mark for command in repeats)
+        return [beat, Submit(repeats, now)]
+
+    def _recent(self, orders: dict[int, tuple[int, ...]], now: int) -> dict[int, tuple[int, ...]]:
+        """Returns the orders that may yet be answered."""
+        return {asked: marks for asked, marks in orders.items() if asked > now - 2 * self.terms.lease}
+
+    def _next_repeats(self) -> tuple[Command, ...]:
+        """Returns the first commands of unknown fate, as many as fit into one message with the first one."""
+        commands, large = [], 0
+        for mark in sorted(self.unknown)[:MAX_REPEATED]:
+            command = self.unknown[mark]
+            large += isinstance(command.what, Begin | Reserve | Move)
+            if large > MAX_LARGE_REPEATED:
+                break
+            commands.append(command)
+        return tuple(commands)
+
+    def _is_blocked(self, now: int) -> bool:
+        """Returns whether this relay is taken for alive, but has had no command carried out for long.
+
+        It must not keep what it can't act on: the session is left to lapse, and others take over.
+        """
+        return (
+            self.state == HELD
+            and self.blocked_since is not None
+            and now - self.blocked_since > BLOCKED_LEASES * self.terms.lease
+        )
 
-    def answered(self, now: int, asked_at: int, answer: Answer) -> None:
-        """Handles the answer to an order of `orders`; one of a former session is ignored."""
+    def answered(self, now: int, asked_at: int, answer: Answer, is_repeat: bool = False) -> None:
+        """Handles the answer to an order of `orders`; one of a former session is ignored.
+
+        `is_repeat`: it answers the Submit that was sent beside a Beat.
+        """
         self._check_lease(now)
-        if asked_at not in self.in_flight or self.state == ENDED:
+        if self.state == ENDED:
             return
-        if isinstance(answer, Renewed):
+        if isinstance(answer, Done):
+            self.failed(now, asked_at, answer.code, is_repeat)
+        elif self.state in (HELD, LAPSED) and not isinstance(answer, Renewed):
+            self._on_repeated(now, asked_at, answer)
+        elif asked_at not in self.in_flight:
+            return
+        elif isinstance(answer, Renewed):
             self._on_renewed(now, asked_at, answer)
-        elif isinstance(answer, Done):
-            self.failed(now, asked_at, answer.code)
         elif self.state == OPENING:
             self._on_opened(now, answer[0])
-        elif self.state == CLOSING:
-            if self.in_flight[asked_at] == (self.mark,):
-                self._set_state(ENDED)
-        else:
-            for mark, result in zip(self.in_flight[asked_at], answer, strict=True):
-                if mark in self.unknown and result.code not in ("unknown_fate", "not_leader"):
-                    self.results.append((self.unknown[mark], result))
-                    self.confirmed(now, self.unknown.pop(mark))
-            if any(result.code in SESSION_OVER_CODES for result in answer):
-                self._reopen(now)
+        elif self.state == CLOSING and self.in_flight[asked_at] == (self.mark,):
+            self._set_state(ENDED)
+
+    def _on_repeated(self, now: int, asked_at: int, results: tuple[Done, ...]) -> None:
+        if asked_at not in self.repeats:
+            return
+        for mark, result in zip(self.repeats[asked_at], results, strict=True):
+            if mark in self.unknown and result.code not in ("unknown_fate", "not_leader"):
+                self.results.append((self.unknown[mark], result))
+                self.confirmed(now, self.unknown.pop(mark))
+        if any(result.code in SESSION_OVER_CODES for result in results):
+            self._reopen(now)
 
     def _on_renewed(self, now: int, asked_at: int, answer: Renewed) -> None:
         if self.state not in (HELD, LAPSED) or (self.granted_at is not None and asked_at < self.granted_at):
@@ -183,6 +241,10 @@
             return  # it came too late to be of use
         self.held = {share.budget: share for share in answer.shares}
         self._remove_caps(now, asked_at)
+        if not self.unknown or self.state == LAPSED:
+            self.blocked_since = None
+        elif self.blocked_since is None:
+            self.blocked_since = now
         if self.state == LAPSED:
             self._set_state(HELD)
 
@@ -232,12 +294,15 @@
         self._set_state(OPENING)
         self.first_asked = self.next_at = now
 
-    def failed(self, now: int, asked_at: int, code: str) -> None:
+    def failed(self, now: int, asked_at: int, code: str, is_repeat: bool = False) -> None:
         """An order of `orders` was refused or not answered.
 
-        What may have been carried out is repeated with the same mark.
+        What may have been carried out is repeated with the same mark. `is_repeat` is as in `answered`.
         """
         self._check_lease(now)
+        if is_repeat and self.state in (HELD, LAPSED):
+            self._on_repeat_failed(now, asked_at, code)
+            return
         if asked_at not in self.in_flight:
             return
         if self.state == OPENING:
@@ -249,6 +314,15 @@
             self._reopen(now)
         self.in_flight.pop(asked_at, None)
 
+    def _on_repeat_failed(self, now: int, asked_at: int, code: str) -> None:
+        """The Beat beside the repeats is not concerned. What can never be sent goes back to who gave it."""
+        marks = self.repeats.pop(asked_at, ())
+        if marks and code in SESSION_OVER_CODES:
+            self._reopen(now)
+        elif code in UNSENDABLE_CODES:
+            result = Done(code="unknown_fate", to=self.name, told=(("why", code),))
+            self.results.extend((self.unknown.pop(mark), result) for mark in marks if mark in self.unknown)
+
     def command(self, what: What, now: int = 0) -> Command:
         """Returns a command with the fence and the next mark.
 
@@ -280,6 +354,7 @@
     def confirmed(self, now: int, command: Command) -> None:
         """The command was answered, with whatever result: later Beats include its effect."""
         self.now = max(self.now, now)
+        self.blocked_since = None
         given_back = self.given_back.get(command.mark)
         if given_back is not None and command.fence == self.fence:
             self.given_back[command.mark] = given_back._replace(confirmed_at=self.now)
--- a/laurelcourse/fleet/workflows/engine.py
+++ b/laurelcourse/fleet/workflows/engine.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, NamedTuple
 
+from laurelcourse.fleet.books import bounds
 from laurelcourse.fleet.books import workflows as books
 from laurelcourse.fleet.books.forms import (
     COMPLETED,
@@ -28,6 +29,7 @@
 from laurelcourse.fleet.errors import (
     DefinitionRefusedError,
     FleetError,
+    TooLargeError,
     UnknownFateError,
     UnreadableError,
     error_from_code,
@@ -118,6 +120,7 @@
         self.starting: list[tuple[int, OnAnswer]] = []  # clients whose Begin has no result yet; until when
         self.outbox: list[OutgoingCommand] = []
         self.submitted: SubmittedCommands | None = None
+        self.max_commands = MAX_COMMANDS  # of the next Submit
         self.unanswered: dict[tuple[int, int], OutgoingCommand] = {}  # by session and mark
         self.views_wanted: dict[int, list[Callable[[], None]]] = {}  # what to call with a new view
         self.view_request: ViewRequest | None = None
@@ -158,17 +161,14 @@
             figures = {"waiting": MAX_CLIENTS, "at_most": MAX_CLIENTS}
             on_answer(error_from_code("overloaded", self.session.name, figures))
             return
-        fault = statements.find_unfit(definition, values)
+        begin = Begin(tenant, mark, definition, values)
+        fault = _find_out_of_bounds(begin) or statements.find_unfit(definition, values)
         if fault is not None:
             on_answer(fault)
             return
         entry = until, on_answer
         self.starting.append(entry)
-        self.outbox.append(
-            OutgoingCommand(
-                Begin(tenant, mark, definition, values), lambda result: self._on_begun(entry, result)
-            )
-        )
+        self.outbox.append(OutgoingCommand(begin, lambda result: self._on_begun(entry, result)))
 
     def _on_begun(self, entry: tuple[int, OnAnswer], result: Done) -> None:
         until, on_answer = entry
@@ -189,6 +189,11 @@
 
     def look(self, number: int, on_answer: OnAnswer) -> None:
         """Answers where a workflow stands."""
+        try:
+            bounds.check_workflow(number)
+        except FleetError as error:
+            on_answer(error)
+            return
         waiting = run.WaitingClient(number, 0)
         self._want_view(number, lambda: on_answer(waiting.answer(self.clock(), self.views.get(number))))
 
@@ -210,6 +215,11 @@
                     self.runs[number].client_left()
 
     def _submit_and_look(self, command: Leave | Settle, number: int, on_answer: OnAnswer) -> None:
+        fault = _find_out_of_bounds(command)
+        if fault is not None:
+            on_answer(fault)
+            return
+
         def on_result(result: Done) -> None:
             if result.code:
                 on_answer(error_from_code(result.code, result.to, dict(result.told)))
@@ -416,32 +426,49 @@
                 lambda answer: self.post_or_drop(self._on_submitted, submitted, answer),
             )
         except FleetError as error:
-            self._on_submitted(submitted, error)
+            self.submitted = None
+            self._submit_later(submitted, error.code)
 
     def _take_commands(self, now: int) -> list[tuple[Command, OutgoingCommand]]:
         """Takes the next commands from the outbox; those that the session refuses get its error."""
         taken = begins = 0
         commands = []
-        for outgoing in self.outbox[:MAX_COMMANDS]:
+        for outgoing in self.outbox[: self.max_commands]:
             begins += isinstance(outgoing.command, Begin)
             if begins > MAX_BEGINS:
                 break
             taken += 1
             try:
-                commands.append((self.session.command(outgoing.command, now), outgoing))
+                command = self.session.command(outgoing.command, now)
+                self.member.client.check_sendable(command)
+                commands.append((command, outgoing))
             except FleetError as error:
                 figures = tuple(sorted(error.figures.items()))
                 outgoing.on_result(Done(code=error.code, to=error.to, told=figures))
         del self.outbox[:taken]
         return commands
 
+    def _submit_later(self, submitted: SubmittedCommands, code: str) -> None:
+        """Puts commands that were surely not carried out back in front, fewer at once if they were too large.
+
+        They get other marks then: none of these is known anywhere.
+        """
+        self.outbox[:0] = [outgoing for _, outgoing in submitted.commands]
+        if code == TooLargeError.code:
+            self.max_commands = max(len(submitted.commands) // 2, 1)
+
     def _on_submitted(self, submitted: SubmittedCommands, answer: Answer | FleetError) -> None:
         if self.submitted is not submitted:
             return
         self.submitted = None
         now = self.clock()
-        if isinstance(answer, Done) and answer.code == "too_large":
-            answer = (answer,) * len(submitted.commands)
+        if isinstance(answer, FleetError | Done) and answer.code == TooLargeError.code:
+            if len(submitted.commands) > 1:
+                self._submit_later(submitted, answer.code)
+                return
+            figures = answer.figures if isinstance(answer, FleetError) else dict(answer.told)
+            answer = (Done(code=answer.code, to=answer.to, told=tuple(sorted(figures.items()))),)
+        self.max_commands = MAX_COMMANDS
         for index, (command, outgoing) in enumerate(submitted.commands):
             if isinstance(answer, FleetError | Done):
                 self.unanswered[command.fence.session, command.mark] = outgoing
@@ -521,3 +548,11 @@
             log.error("workflow is stuck", extra=error.fields() | {"place": index})
         elif view.state != books.STUCK:
             self.stuck.discard(number)
+
+
+def _find_out_of_bounds(command: Begin | Leave | Settle) -> FleetError | None:
+    try:
+        bounds.check_command(command)
+    except FleetError as error:
+        return error
+    return None
--- a/laurelcourse/lab/keepers_relays.py
+++ b/laurelcourse/lab/keepers_relays.py
@@ -287,7 +287,7 @@
         if call.asked_at == OWN_COMMAND:
             self._on_own_result(relay, call, answer[0], now)
         else:
-            relay.session.answered(now, call.asked_at, answer)
+            relay.session.answered(now, call.asked_at, answer, call.kind == "submit")
         self.history.check_shares(simulation.now)
 
     def _update_routes(self, relay: RelayProcess, attempt: Attempt, code: str, forwarded_by: str) -> None:
@@ -303,7 +303,8 @@
             budget = call.command.what.budget
             relay.giving_back = {name: number for name, number in relay.giving_back.items() if name != budget}
         elif call.asked_at != READ:
-            relay.session.failed(relay.clock.local(self.simulation.now), call.asked_at, code)
+            now = relay.clock.local(self.simulation.now)
+            relay.session.failed(now, call.asked_at, code, call.kind == "submit")
 
     def _on_own_result(self, relay: RelayProcess, call: Call, result: Done, now: int) -> None:
         relay.giving_back.pop(call.command.what.budget, None)
--- a/tests/test_fleet_coordinator.py
+++ b/tests/test_fleet_coordinator.py
@@ -158,6 +158,67 @@
         session.command(GiveBack("tries", 0), 80)
 
 
+LARGE = forms.Begin("t", "m", None)
+
+
+@pytest.mark.parametrize("code", ["too_large", "unreadable", "no_quorum"])
+def test_repeats_that_fail_cost_no_renewal_and_what_can_never_go_is_given_back(code: str) -> None:
+    """Guards against a repeat that can't be sent and takes the Beat beside it along."""
+    session = opened()
+    command = session.command(GiveBack("tries", 1), 10)
+    session.lost(command, "unknown_fate")
+    session.next_at = 20
+    assert [type(order) for order in session.orders(20)] == [Beat, Submit]
+    session.failed(21, 20, code, is_repeat=True)
+    session.answered(30, 20, Renewed(TERMS.lease, ()))
+    assert session.granted_at == 20
+    results = session.take_results()
+    assert [done.code for _, done in results] == ([] if code == "no_quorum" else ["unknown_fate"])
+    session.next_at = 40
+    assert len(session.orders(40)) == (2 if code == "no_quorum" else 1)
+
+
+def test_repeats_go_out_in_messages_that_fit() -> None:
+    session = opened()
+    commands = [session.command(what, 10) for what in (LARGE, GiveBack("x", 1), LARGE, LARGE)]
+    commands += [session.command(GiveBack("x", 1), 10) for _ in range(40)]
+    for command in commands:
+        session.lost(command, "unknown_fate")
+    sent, now = [], 20
+    while session.unknown:
+        session.next_at = now
+        _, submit = session.orders(now)
+        assert len(submit.commands) <= side.MAX_REPEATED
+        assert sum(command.what is LARGE for command in submit.commands) <= side.MAX_LARGE_REPEATED
+        sent += submit.commands
+        session.answered(now, now, (Done(),) * len(submit.commands))
+        now += 1
+    assert sent == commands
+
+
+@pytest.mark.parametrize(
+    ("answered", "renewed", "over"), [(False, True, True), (True, True, False), (False, False, False)]
+)
+def test_a_session_whose_commands_are_stuck_is_given_up(answered: bool, renewed: bool, over: bool) -> None:
+    """Guards against a relay that renews its lease, can command nothing, and keeps what it owns."""
+    session, results = opened(), []
+    session.lost(session.command(GiveBack("x", 1), 10), "unknown_fate")
+    now, first = 20, session.fence
+    while now < 20 + 3 * TERMS.lease and session.state != side.OPENING:
+        session.next_at = now
+        session.orders(now)
+        if renewed:
+            session.answered(now, now, Renewed(TERMS.lease, ()))
+        if answered and now > 20 + TERMS.lease:
+            session.answered(now, now, (Done(),))
+        now += TERMS.renew_interval
+        results += session.take_results()
+    assert (session.state == side.OPENING) is over and first == FENCE
+    if over:
+        assert now - 20 >= side.BLOCKED_LEASES * TERMS.lease and not session.is_usable(now)
+        assert [done.code for _, done in results + session.take_results()] == ["unknown_fate"]
+
+
 @pytest.mark.parametrize(
     "now, closed",
     [
@@ -680,6 +741,8 @@
         *sorted(session.given_back.items()),
         *sorted(session.unknown),
         *sorted(item for item in session.in_flight.items() if item[0] in under_way),
+        *sorted(item for item in session.repeats.items() if item[0] in under_way),
+        session.blocked_since,
     )
 
 
--- a/tests/test_fleet_workflow_processes.py
+++ b/tests/test_fleet_workflow_processes.py
@@ -14,17 +14,19 @@
 import test_fleet_coordinator
 from click.testing import CliRunner
 from conftest import ROOT
+from google.protobuf.message import Message
 
 from laurelcourse import cli
 from laurelcourse.fleet.books import forms as f
 from laurelcourse.fleet.books.apply import Books
-from laurelcourse.fleet.calls import codec
+from laurelcourse.fleet.calls import codec, fleet_pb2_grpc
 from laurelcourse.fleet.calls import fleet_pb2 as wire
+from laurelcourse.fleet.errors import TooLargeError
 from laurelcourse.fleet.flows_client import DONE, ERRORED, UNDONE, FlowsClient, WorkflowStatus
-from laurelcourse.fleet.orders import Question
+from laurelcourse.fleet.orders import Question, Submit
 from laurelcourse.fleet.workflows import definition as d
 from laurelcourse.fleet.workflows import step_sender, views
-from laurelcourse.fleet.workflows.engine import WorkflowEngine
+from laurelcourse.fleet.workflows.engine import OutgoingCommand, WorkflowEngine
 from laurelcourse.lab import workflow_checks
 from laurelcourse.lab.cluster import UNREACHABLE_ADDRESS, Cluster
 from laurelcourse.net import req
@@ -235,6 +237,45 @@
     assert other.settle(number, 0, "by_hand").answer == UNDONE
 
 
+LONG, BEYOND = "m" * 5000, 1 << 63
+
+
+@pytest.mark.parametrize(
+    ("method", "request_"),
+    [
+        ("Start", wire.StartOrder(definition="booking", tenant="firm", mark=LONG)),
+        ("Start", wire.StartOrder(definition="booking", tenant=LONG, mark="m")),
+        ("Start", wire.StartOrder(definition="booking", tenant="firm", mark="m" * 257)),
+        (
+            "Start",
+            wire.StartOrder(
+                definition="booking",
+                tenant="f",
+                mark="long",
+                values=[wire.Given(name="room", value="r" * 6000)],
+            ),
+        ),
+        ("Start", wire.StartOrder(definition="booking", tenant="f\n", mark="m")),
+        ("Look", wire.LookOrder(number=BEYOND)),
+        ("Leave", wire.LeaveOrder(number=BEYOND)),
+        ("Settle", wire.SettleOrder(number=BEYOND, step=0, how="again")),
+        ("Settle", wire.SettleOrder(number=1, step=BEYOND, how="again")),
+        ("Settle", wire.SettleOrder(number=1, step=0, how=LONG)),
+    ],
+)
+def test_a_call_out_of_bounds_is_refused_and_holds_up_no_other(
+    fleet: Fleet, method: str, request_: Message
+) -> None:
+    """Guards against one call that can't be encoded and stops all workflows of its relay."""
+    mark = f"bounds{len(fleet.ledger.received)}"
+    thread, statuses = fleet.behind(mark)
+    with grpc.insecure_channel(f"{RELAY_HOST}:{fleet.host.workflow_ports['m1']}") as channel:
+        answer = getattr(fleet_pb2_grpc.FlowsStub(channel), method)(request_, timeout=5)
+    assert answer.refused.code == "out_of_bounds"
+    thread.join()
+    assert statuses[0].answer == fleet.start(mark + "-next").answer == DONE
+
+
 # Without processes
 
 SEND = d.Send("mark", "x{a}", 5, "deduplicated", 9)
@@ -460,3 +501,56 @@
     request = step_sender.SendReq("i", "k", "mark", "SELECT blob FROM rows WHERE handle = 'a'", 0)
     sender.send(request, 5000, False, lambda: may_send.pop(0), lambda _: None)
     assert [asked[0](), asked[0]()] == [False, True], "asked as its bytes are written"
+
+
+class SubmittingClient:
+    """Takes Submits of up to `most` commands; raises or answers that larger ones are too large."""
+
+    def __init__(self, most: int, raises: bool) -> None:
+        self.most, self.raises, self.sent = most, raises, []
+
+    def check_sendable(self, command: f.Command) -> None:
+        if command.what.workflow == UNSENDABLE:
+            raise TooLargeError("Leave", size=2, at_most=1)
+
+    def submit(self, submit: Submit, on_answer: Callable) -> None:
+        if len(submit.commands) > self.most and self.raises:
+            raise TooLargeError("Submit", size=2, at_most=1)
+        self.sent.append(len(submit.commands))
+        if len(submit.commands) > self.most:
+            on_answer(f.Done(code="too_large", told=(("size", 2), ("at_most", 1))))
+        else:
+            on_answer((f.Done(("forward",)),) * len(submit.commands))
+
+
+UNSENDABLE = 9
+
+
+@pytest.mark.parametrize("raises", [True, False])
+def test_a_command_that_is_refused_leaves_those_beside_it_alone(raises: bool) -> None:
+    """Guards against a Submit that is refused whole and taken for one whose answer was lost."""
+    session = test_fleet_coordinator.opened()
+    client = SubmittingClient(2, raises)
+    member = SimpleNamespace(
+        session=session,
+        client=SimpleNamespace(
+            limits=SimpleNamespace(order_timeout=1),
+            check_sendable=client.check_sendable,
+            submit=client.submit,
+        ),
+        clock=lambda: 10,
+        counters=Counters(),
+    )
+    engine = WorkflowEngine(member, None, None, {}, None)
+    engine.post_or_drop = lambda work, *args: work(*args)
+    results: dict[int, f.Done] = {}
+    for number in range(1, 12):
+        engine.outbox.append(
+            OutgoingCommand(
+                f.Leave(number, f.LEFT), lambda done, number=number: results.update({number: done})
+            )
+        )
+    for _ in range(20):
+        engine._submit(10, True)
+    assert {number: done.code for number, done in results.items() if done.code} == {UNSENDABLE: "too_large"}
+    assert len(results) == 11 and not session.unknown and not engine.unanswered
