A step of unknown fate is not sent again where only a part of the units drops its repeats

Cause: route_rules of operator/workflows.py dropped a route's dedup_group, so definition and books took any unit for one that knows the key; each try is a new req, and the Balancer keeps repeats in the group within one req alone. Ruled out by the record: tries of one req outside the zone, and the memory of 2 s.

Change: the group is part of RouteRule; where it is not the whole fleet, a definition's memory is 0 and no further req follows a try of unknown fate: stuck, or spent where that is harmless. check takes what it took. The tests' routes had a group "any", which no platform setting has; they say "all" now, with zone and cell beside it.

--- a/laurelcourse/fleet/books/workflows.py
+++ b/laurelcourse/fleet/books/workflows.py
@@ -202,8 +202,9 @@
 def repeatable_for(workflow: Workflow | WorkflowView, index: int, undo: bool, time: int) -> int:
     """Returns for how long after `time` units surely drop a repeat of a step, or of its undo, or need not.
 
-    That is 0 for a non-retriable one, UNBOUNDED for a retriable one and for an undo that does no harm however
-    late it runs. Units remember a deduplicated one from its first try on.
+    That is 0 for a non-retriable one and where only some units drop a repeat, UNBOUNDED for a retriable one
+    and for an undo that does no harm however late it runs. Units remember a deduplicated one from its first
+    try on.
     """
     step = workflow.definition.steps[index]
     send = step.undo if undo else step.send
--- a/laurelcourse/fleet/workflows/definition.py
+++ b/laurelcourse/fleet/workflows/definition.py
@@ -34,6 +34,7 @@
     repeat: str  # RETRIABLE, DEDUPED or NON_RETRIABLE
     memory: int  # for how long a unit recognizes a repeat, if DEDUPED
     timeout: int
+    is_fleet_wide: bool = True  # whether any unit recognizes a repeat of what another one ran, if DEDUPED
 
 
 class Send(NamedTuple):
@@ -43,7 +44,7 @@
     statement: str  # a template: `{name}` stands for a value given when the workflow begins
     timeout: int
     repeat: str = RETRIABLE
-    memory: int = 0
+    memory: int = 0  # for how long any unit recognizes a repeat, if DEDUPED; 0: only some units do
 
 
 class Step(NamedTuple):
@@ -191,8 +192,11 @@
     """Returns whether all tries of one owner are within the time for which a unit recognizes a repeat.
 
     Takeovers and waits for the keepers are not foreseen here: before each try the state machine looks at the
-    time that has passed (`books.workflows.may_send`).
+    time that has passed (`books.workflows.may_send`). In a stored definition, a memory of 0 says that only
+    some units recognize a repeat: there is none beyond the req itself, whose tries stay among these units.
     """
+    if rule.repeat == DEDUPED and not rule.is_fleet_wide and not rule.memory:
+        return True
     longest = definition.tries * send.timeout + definition.max_total_back_off()
     return rule.repeat == RETRIABLE or (rule.repeat == DEDUPED and longest <= rule.memory)
 
@@ -201,7 +205,7 @@
     index: int, undo: bool, send: Send, routes: Mapping[str, RouteRule] | None
 ) -> Iterator[Flaw]:
     """Yields the flaws of one req; the generator returns the route's rule, None if there is no such route."""
-    rule = RouteRule(send.repeat, send.memory, send.timeout) if routes is None else routes.get(send.route)
+    rule = _stored_rule(send) if routes is None else routes.get(send.route)
     if rule is None:
         known = ", ".join(sorted(routes)) or "none"
         yield Flaw(index, undo, f"no route {send.route}: the platform has {known}")
@@ -226,11 +230,20 @@
     return rule
 
 
+def _stored_rule(send: Send) -> RouteRule:
+    return RouteRule(send.repeat, send.memory, send.timeout, is_fleet_wide=send.memory > 0)
+
+
 def with_route_rules(definition: Definition, routes: Mapping[str, RouteRule]) -> Definition:
-    """Returns the definition with the rules of its routes, all of which must be known."""
+    """Returns the definition with the rules of its routes, all of which must be known.
+
+    Which units a req may have reached is not recorded. So where only some units recognize a repeat, none
+    surely does, and the memory is 0.
+    """
 
     def with_rule(send: Send) -> Send:
-        return send._replace(repeat=routes[send.route].repeat, memory=routes[send.route].memory)
+        rule = routes[send.route]
+        return send._replace(repeat=rule.repeat, memory=rule.memory if rule.is_fleet_wide else 0)
 
     return definition._replace(
         steps=tuple(
--- a/laurelcourse/operator/workflows.py
+++ b/laurelcourse/operator/workflows.py
@@ -44,7 +44,12 @@
 def route_rules(routes: Iterable[platform.Route]) -> dict[str, definitions.RouteRule]:
     """Returns by route what matters for workflows."""
     return {
-        route.name: definitions.RouteRule(route.repeat_policy, route.dedup_window, route.timeout)
+        route.name: definitions.RouteRule(
+            route.repeat_policy,
+            route.dedup_window,
+            route.timeout,
+            is_fleet_wide=route.dedup_group == platform.GROUP_ALL,
+        )
         for route in routes
     }
 
--- a/tests/test_fleet_workflow_processes.py
+++ b/tests/test_fleet_workflow_processes.py
@@ -46,6 +46,7 @@
     "classes": [
         *PLATFORM_SETTINGS["classes"],
         route_settings(BRIEF_ROUTE, "deduplicated") | {"memory_span": BRIEF_SECONDS * 1000},
+        route_settings("zonal", "deduplicated") | {"group": "zone"},
     ]
 }
 HARMFUL_FLOW = """<workflow name="order" timeout="8s" tries="2" back-off="100ms" longest-back-off="100ms">
@@ -59,6 +60,14 @@
   </workflow>"""
 
 
+ZONAL_FLOW = """<workflow name="zonal" timeout="8s" tries="2" back-off="100ms" longest-back-off="100ms">
+    <step name="room" route="read" statement="SELECT blob FROM rows WHERE handle = 'hold.room.{room}'"
+          timeout="700ms" effect="false"/>
+    <step name="device" route="zonal" statement="SELECT blob FROM rows WHERE handle = 'hold.device.{device}'"
+          timeout="700ms" no-return="true"/>
+  </workflow>"""
+
+
 class Fleet:
     def __init__(self, folder: Path) -> None:
         self.ledger = Ledger({BRIEF_ROUTE: BRIEF_SECONDS})
@@ -70,7 +79,7 @@
             {"k1": "a", "k2": "b", "k3": "c"},
             {"m1": "a", "m2": "b"},
             platform_settings=PLATFORM,
-            workflows_xml=FLOWS + HARMFUL_FLOW,
+            workflows_xml=FLOWS + HARMFUL_FLOW + ZONAL_FLOW,
             known=directory.full_list(),
             directory=directory.address,
         )
@@ -237,6 +246,15 @@
     assert other.settle(number, 0, "by_hand").answer == UNDONE
 
 
+def test_a_step_whose_repeats_a_zone_alone_drops_is_not_repeated_by_another_req(fleet: Fleet) -> None:
+    """Guards against a step that runs in a second zone, where its key is not known."""
+    values = {"room": "r-zonal", "device": "d-zonal"}
+    fleet.ledger.answers["hold.device.d-zonal"] = "reset"
+    assert fleet.client("m1").start("zonal", "firm", "zonal", values, 4.0).state == "stuck"
+    reqs = {each.req for each in fleet.ledger.received if each.thing == "device.d-zonal"}
+    assert [req_.rpartition(".")[2] for req_ in reqs] == ["1"]
+
+
 LONG, BEYOND = "m" * 5000, 1 << 63
 
 
--- a/tests/test_fleet_workflow_settings.py
+++ b/tests/test_fleet_workflow_settings.py
@@ -13,7 +13,7 @@
 from laurelcourse.fleet.workflows import definition as d
 from laurelcourse.fleet.workflows import statements
 from laurelcourse.operator import reading, workflows
-from laurelcourse.settings import DEDUPED, NON_RETRIABLE, RETRIABLE, Route
+from laurelcourse.settings import DEDUPED, GROUP_ALL, GROUP_CELL, GROUP_ZONE, NON_RETRIABLE, RETRIABLE, Route
 
 ASK = "SELECT blob FROM rows WHERE handle = '%s'"
 WORKFLOW = """<workflow-limits in-flight="500" by-tenant="50" behind="20" keeps="10min"/>
@@ -43,7 +43,7 @@
     "longer": (DEDUPED, d.MAX_DURATION_US + 1),
 }
 ROUTES = [
-    Route(name, 1, 2_000_000, 1.0, 0.0, repeat, "any", memory) for name, (repeat, memory) in KINDS.items()
+    Route(name, 1, 2_000_000, 1.0, 0.0, repeat, GROUP_ALL, memory) for name, (repeat, memory) in KINDS.items()
 ]
 
 
@@ -57,6 +57,19 @@
     return [f"{path}:{fault.line}: {fault.message}" for fault in workflows.find_route_faults(fleet, ROUTES)]
 
 
+@pytest.mark.parametrize(("group", "memory"), [(GROUP_ALL, 3_250_000), (GROUP_ZONE, 0), (GROUP_CELL, 0)])
+def test_only_what_all_units_drop_is_remembered_by_a_definition(
+    tmp_path: Path, group: str, memory: int
+) -> None:
+    """Guards against a step that is repeated at units that don't know its key."""
+    routes = [route._replace(dedup_group=group) if route.name == "keyed" else route for route in ROUTES]
+    path = tmp_path / "fleet.xml"
+    path.write_text(EXAMPLE)
+    definition = workflows.to_definitions(reading.read(str(path)).fleet, routes)["booking"]
+    assert (definition.steps[2].undo.memory, definition.steps[3].send.memory) == (memory, memory)
+    assert list(d.find_flaws(definition)) == []
+
+
 def test_the_example_becomes_a_definition(tmp_path: Path) -> None:
     assert faults(tmp_path, EXAMPLE) == []
     fleet = reading.read(str(tmp_path / "fleet.xml")).fleet
--- a/tests/test_fleet_workflows.py
+++ b/tests/test_fleet_workflows.py
@@ -46,6 +46,9 @@
 KEYED = SHORT._replace(
     steps=(hold("room"), COMMIT._replace(send=COMMIT.send._replace(repeat=DEDUPED, memory=500 * MS)), NOTICE)
 )
+ZONAL = SHORT._replace(
+    steps=(hold("room"), COMMIT._replace(send=COMMIT.send._replace(repeat=DEDUPED)), NOTICE)
+)
 PAID_STEP = hold("room")._replace(undo=UNDO._replace(repeat=DEDUPED, memory=500 * MS))
 PAID = SHORT._replace(steps=(PAID_STEP, COMMIT, NOTICE))
 LISTS = {
@@ -53,6 +56,7 @@
     "short": SHORT,
     "keyed": KEYED,
     "paid": PAID,
+    "zonal": ZONAL,
     "harmless": PAID._replace(steps=(PAID_STEP._replace(harmless=True), COMMIT, NOTICE)),
     "none": SHORT._replace(steps=()),
 }
@@ -183,6 +187,14 @@
     assert it.say("settle b 0 by_hand") == "undone"
 
 
+def test_what_only_some_units_drop_is_not_repeated() -> None:
+    it = Script("zonal")
+    for order in ("do a 0 1", "do a 0 1 ok", "do a 1 1"):
+        it.say(order)
+    assert it.say("do a 1 1 unknown") == "stuck" and it.books.workflow(1).steps[1].state == w.MAYBE
+    assert it.say("settle a 1 again") == "forward" and it.say("do a 1 2") == "out_of_order"
+
+
 PAID_ORDERS = ("do a 0 1", "do a 0 1 ok", "leave a", "undo a 0 1")
 
 
