Nothing is planned beyond the horizon of the books: a transfer due in 14 days ends no keeper

Cause: _capacity of keeper/transfer_planning.py cuts the time until the deadline into 96 grains, free_capacity tells HORIZON_SLICES slices at most, so the last grains were empty. Change: plans end at the horizon, as reservations do.

Measured: test_a_job_due_beyond_the_horizon_is_planned_within_it failed on the code before at 14 days and at the largest deadline, and passes at these, and a slice before and behind the horizon.

--- a/laurelcourse/fleet/keeper/transfer_planning.py
+++ b/laurelcourse/fleet/keeper/transfer_planning.py
@@ -8,7 +8,7 @@
 from laurelcourse.fleet.books.apply import Books
 from laurelcourse.fleet.books.forms import Job, Recall, Stretch
 from laurelcourse.fleet.books.reservations import RECALLED, JobView
-from laurelcourse.fleet.books.state import GRACE_US, SLICE_US
+from laurelcourse.fleet.books.state import GRACE_US, HORIZON_SLICES, SLICE_US
 from laurelcourse.fleet.transfers import plan, views
 
 MAX_GRAINS = 96  # steps of a plan; more would delay the leader's heartbeats
@@ -129,9 +129,13 @@
 
 
 def _capacity(books: Books, time: int, until: int, lead_slices: int) -> plan.Capacity:
-    """Returns the free capacities from now until a time, in at most MAX_GRAINS grains."""
-    first = time // SLICE_US + lead_slices
-    grain = max(1, -(-max(1, until // SLICE_US - first) // MAX_GRAINS))
+    """Returns the free capacities from now until a time, in at most MAX_GRAINS grains.
+
+    Nothing is reserved beyond the horizon, so none is planned there: a job that is due later moves before.
+    """
+    now = time // SLICE_US
+    first, last = now + lead_slices, min(until // SLICE_US, now + HORIZON_SLICES)
+    grain = max(1, -(-max(1, last - first) // MAX_GRAINS))
     start = -(-first // grain) * grain
-    grains = max(1, min(MAX_GRAINS, (until // SLICE_US - start) // grain))
+    grains = max(1, min(MAX_GRAINS, (last - start) // grain))
     return plan.capacity_from(books.resources(), books.free_capacity, start, grain, SLICE_US, grains)
--- a/tests/test_fleet_transfers.py
+++ b/tests/test_fleet_transfers.py
@@ -24,7 +24,7 @@
     Site,
     Stretch,
 )
-from laurelcourse.fleet.books.state import GRACE_US, SLICE_US
+from laurelcourse.fleet.books.state import GRACE_US, HORIZON_SLICES, MAX_AMOUNT, SLICE_US
 from laurelcourse.fleet.keeper.transfer_planning import TransferPlanner
 from laurelcourse.fleet.transfers import plan, rate_limiter, solver
 from laurelcourse.prng import Prng
@@ -531,6 +531,18 @@
     assert {piece.way for piece in moving.plan(play.books, 0, comes)} == {("a", "b")}
 
 
+@pytest.mark.parametrize("slices", [HORIZON_SLICES - 1, HORIZON_SLICES + 1, 14 * 86_400, MAX_AMOUNT // S])
+def test_a_job_due_beyond_the_horizon_is_planned_within_it(slices: int) -> None:
+    """Guards against a deadline far ahead that ends the leader's keeper."""
+    play, moving = Play(1), TransferPlanner()
+    play.at = 77 * S
+    late = JOB._replace(name="late", deadline=slices * S)
+    pieces = moving.plan(play.books, play.at, late)
+    assert pieces and not play.give(play.fences[0], Reserve(late, pieces)).code
+    assert not moving.plan(play.books, play.at, late._replace(name="large", size=1 << 40))
+    moving.recall(play.books, play.at, BEAT)
+
+
 def test_capacity_freed_by_a_recall_is_kept_for_its_job() -> None:
     play, moving = Play(1), TransferPlanner()
     play.give(None, Places(tuple(Link(x, y, 110 * MIB, 10 * MIB) for x, y in ("ab", "ca")), PLACES.sites))
