A relay asks another keeper when one has ended over a fault

Cause: keeper_fault was none of the client's RETRIED_CODES, so its answer was final, and the keeper stayed the leader to the client. Change: it is retried elsewhere, as a failed disk is, and counts as "may have been applied", as orders that the keeper had seen get it too.

Measured: test_another_keeper_is_asked_after_a_fault and a row of test_refusals_become_typed_errors failed on the code before and pass.

--- a/laurelcourse/fleet/calls/client.py
+++ b/laurelcourse/fleet/calls/client.py
@@ -51,11 +51,12 @@
     "older_disk",
     "damaged_books",
     "books_differ",
+    "keeper_fault",
 )
 
 
 # Errors after which the order may have been applied.
-MAYBE_APPLIED_CODES = ("unknown_fate", "disk_full", "disk_failed", "books_differ")
+MAYBE_APPLIED_CODES = ("unknown_fate", "disk_full", "disk_failed", "books_differ", "keeper_fault")
 
 # Errors of processes that refuse the order, as this one refuses their answer.
 FOREIGN_CODES = ("other_fleet", "other_version")
--- a/tests/test_fleet_calls.py
+++ b/tests/test_fleet_calls.py
@@ -437,6 +437,14 @@
         assert [order for order in leading.orders if order != BEAT] == [SUBMIT, ASKED, VOTERS]
 
 
+def test_another_keeper_is_asked_after_a_fault(ground: Ground) -> None:
+    """Guards against a relay that holds on to a keeper that has ended over a fault."""
+    ended = Scripted(lambda _: refused("keeper_fault", fault="x"))
+    serving = Scripted(lambda _: books.Done(("x",)))
+    client = ground.client({"a": at(ground.keeper("a", ended)), "b": at(ground.keeper("b", serving))})
+    assert [told(client.submit, SUBMIT), told(client.ask, ASKED)] == [books.Done(("x",))] * 2
+
+
 @pytest.mark.parametrize(
     "answer, heard",
     [
@@ -449,6 +457,7 @@
         (refused("stopping"), errors.StoppingError),
         (refused("never heard of"), books.Done),
         (refused("older_disk", held=1, said=2), errors.OlderDiskError),
+        (refused("keeper_fault", fault="x"), errors.UnknownFateError),
         (Future(), errors.UnknownFateError),
         (books.Done(("x" * 2000,) * 40), books.Done),
     ],
