A fault of the transfers' planner costs a plan, not the leader's keeper

Cause: the coordinator called the planner without a guard, in its tick and for questions; whatever it raised ended the keeper's thread, and with the next ask the next one. Its plans are proposals that the books check. Change: a fault is logged ("planning failed", error), the job is refused a plan (plan_unfit), nobody is recalled.

--- a/laurelcourse/fleet/errors.py
+++ b/laurelcourse/fleet/errors.py
@@ -34,6 +34,11 @@
         }
 
 
+def describe_fault(error: Exception) -> str:
+    """Returns an unexpected exception as one line."""
+    return " ".join(f"{type(error).__name__}: {error}".split())
+
+
 # Keepers and connections to them
 
 
--- a/laurelcourse/fleet/keeper/coordinator.py
+++ b/laurelcourse/fleet/keeper/coordinator.py
@@ -18,13 +18,14 @@
     Define,
     Done,
     Grant,
+    Job,
     Lapse,
     Limits,
     Open,
     Places,
     Recall,
 )
-from laurelcourse.fleet.errors import FleetError, OlderDiskError
+from laurelcourse.fleet.errors import FleetError, OlderDiskError, PlanUnfitError, describe_fault
 from laurelcourse.fleet.keeper.allocation import BudgetAllocator
 from laurelcourse.fleet.keeper.batching import ActionBatch, merge_writes
 from laurelcourse.fleet.keeper.core import Core
@@ -388,7 +389,7 @@
         if leader.must_set_places:
             leader.must_set_places = False
             self._enqueue_own(now, Places(self.terms.links, self.terms.sites))
-        elif recall := leader.planner.recall(self.books, leader.clock.at(now), self.terms.renew_interval):
+        elif recall := self._recall(now):
             self._enqueue_own(now, recall)
         if not leader.grants_in_flight:
             for grant in leader.allocator.grants(now, self.books, leader.members):
@@ -609,8 +610,7 @@
             job = question.job
             if job and (job.origin, job.to) not in {(link.origin, link.to) for link in self.terms.links}:
                 return Done(code="no_direct_link", to=job.name, told=(("link", f"{job.origin}>{job.to}"),))
-            pieces = transfer_views.pieces_to_plain(planner.plan(self.books, time, job)) if job else ()
-            return Done((time, pieces))
+            return self._plan(time, job) if job else Done((time, ()))
         owners = ("*", "0", of) if of != "*" else ()  # of 'moves': a session's and orphans; '*': all
         jobs = [
             known
@@ -622,6 +622,27 @@
         ended = self.books.job_end(of) if question.what == "move" else ""
         return Done(transfer_views.to_plain(view._replace(ended=ended)))
 
+    # The planner works on whatever figures jobs have. Its plans are proposals, so a fault of it costs a plan,
+    # and must not end the keeper.
+
+    def _recall(self, now: int) -> Recall | None:
+        leader = self.leader_state
+        try:
+            return leader.planner.recall(self.books, leader.clock.at(now), self.terms.renew_interval)
+        except Exception as error:
+            self._note("error", "planning failed", fault=describe_fault(error))
+            leader.planner.waiting_jobs = {}
+            return None
+
+    def _plan(self, time: int, job: Job) -> Done:
+        try:
+            stretches = self.leader_state.planner.plan(self.books, time, job)
+        except Exception as error:
+            fault = describe_fault(error)
+            self._note("error", "planning failed", job=job.name, fault=fault)
+            return Done(code=PlanUnfitError.code, to=job.name, told=(("fault", fault),))
+        return Done((time, transfer_views.pieces_to_plain(stretches)))
+
     def _answer_workflows(self, numbers: str) -> Done:
         """Answers in the form of `workflows/views.py`, in the order asked for."""
         wanted = [int(number) for number in numbers.split(",") if number.isascii() and number.isdigit()]
--- a/laurelcourse/fleet/keeper/replica.py
+++ b/laurelcourse/fleet/keeper/replica.py
@@ -177,7 +177,7 @@
             self.log.error("keeper takes part no more", extra=error.fields())
             self._set_state(ENDED, error, error)
         except Exception as error:
-            fault = errors.KeeperFaultError(name, fault=" ".join(f"{type(error).__name__}: {error}".split()))
+            fault = errors.KeeperFaultError(name, fault=errors.describe_fault(error))
             self.log.exception("keeper takes part no more", extra=fault.fields())
             self._set_state(ENDED, fault, fault)
         finally:
--- a/tests/test_fleet_coordinator.py
+++ b/tests/test_fleet_coordinator.py
@@ -1,6 +1,7 @@
 """Leases on both sides, a keeper's decisions around the core, and all interleavings of a small fleet."""
 
 import json
+import sys
 from collections import deque
 from collections.abc import Callable, Iterator
 
@@ -10,11 +11,13 @@
 from laurelcourse.fleet.books import forms
 from laurelcourse.fleet.books.apply import Books
 from laurelcourse.fleet.books.forms import Batch, Command, Done, Fence, GiveBack, Grant, Lapse, Open
+from laurelcourse.fleet.calls import codec
 from laurelcourse.fleet.errors import ERRORS_BY_CODE, LapsedLeaseError, OverloadedError, error_from_code
 from laurelcourse.fleet.keeper.batching import merge_writes
 from laurelcourse.fleet.keeper.coordinator import Coordinator, Order, Proposal
 from laurelcourse.fleet.keeper.leader_clock import LeaderClock
 from laurelcourse.fleet.keeper.messages import BOOKS, Bounds, Entry, Keepers, Kept, Mark, Snapshot, Write
+from laurelcourse.fleet.keeper.transfer_planning import TransferPlanner
 from laurelcourse.fleet.members import Member, Members
 from laurelcourse.fleet.orders import Acts, Answer, Beat, Question, Renewed, Share, Submit, Terms
 from laurelcourse.fleet.session import Session
@@ -158,6 +161,33 @@
         session.command(GiveBack("tries", 0), 80)
 
 
+def test_a_fault_of_the_planner_ends_no_keeper(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a job whose figures the planner can't take, and that ends one leader after another."""
+    monkeypatch.setattr(sys.modules[__name__], "encode", codec.encode_batch)
+    monkeypatch.setattr(sys.modules[__name__], "decode", codec.decode_batch)
+    links = (forms.Link("a", "b", 100, 10),)
+    fleet = Fleet(terms=TERMS._replace(links=links, sites=(forms.Site("a", 1), forms.Site("b", 1))))
+    planner = fleet.leader().leader_state.planner = FaultyPlanner()
+    job = forms.Job("x", "f", "a", "b", 1, 0, 10, 1, 1)
+    answer = fleet.ask("ask", Question("plan", "", job))
+    assert (answer.code, dict(answer.told)) == ("plan_unfit", {"fault": "ZeroDivisionError: by job"})
+    fleet.until(lambda: planner.recalls > 2)
+    noted = {note.msg: dict(note.fields) for note in fleet.notes}
+    assert noted["planning failed"] == {"fault": "ZeroDivisionError: by all"}
+    assert fleet.open("r").session
+
+
+class FaultyPlanner(TransferPlanner):
+    recalls = 0
+
+    def plan(self, *_: object) -> None:
+        raise ZeroDivisionError("by job")
+
+    def recall(self, *_: object) -> None:
+        FaultyPlanner.recalls += 1
+        raise ZeroDivisionError("by all")
+
+
 LARGE = forms.Begin("t", "m", None)
 
 
