A Submit that the client gave up as too large may have been applied, and is not given anew

Change: only the leader's word, a Done, has commands given again with other marks; after the client's error they are repeated with the same ones.

Measured: test_a_submit_that_the_client_gave_up_may_have_been_applied failed on the code before and passes.

--- a/laurelcourse/fleet/workflows/engine.py
+++ b/laurelcourse/fleet/workflows/engine.py
@@ -462,12 +462,12 @@
             return
         self.submitted = None
         now = self.clock()
-        if isinstance(answer, FleetError | Done) and answer.code == TooLargeError.code:
+        if isinstance(answer, Done) and answer.code == TooLargeError.code:
+            # The leader refused it whole. The client's own error may mean that the answer was too large.
             if len(submitted.commands) > 1:
                 self._submit_later(submitted, answer.code)
                 return
-            figures = answer.figures if isinstance(answer, FleetError) else dict(answer.told)
-            answer = (Done(code=answer.code, to=answer.to, told=tuple(sorted(figures.items()))),)
+            answer = (answer,)
         self.max_commands = MAX_COMMANDS
         for index, (command, outgoing) in enumerate(submitted.commands):
             if isinstance(answer, FleetError | Done):
--- a/tests/test_fleet_workflow_processes.py
+++ b/tests/test_fleet_workflow_processes.py
@@ -26,7 +26,7 @@
 from laurelcourse.fleet.orders import Question, Submit
 from laurelcourse.fleet.workflows import definition as d
 from laurelcourse.fleet.workflows import step_sender, views
-from laurelcourse.fleet.workflows.engine import OutgoingCommand, WorkflowEngine
+from laurelcourse.fleet.workflows.engine import OutgoingCommand, SubmittedCommands, WorkflowEngine
 from laurelcourse.lab import workflow_checks
 from laurelcourse.lab.cluster import UNREACHABLE_ADDRESS, Cluster
 from laurelcourse.net import req
@@ -572,3 +572,22 @@
         engine._submit(10, True)
     assert {number: done.code for number, done in results.items() if done.code} == {UNSENDABLE: "too_large"}
     assert len(results) == 11 and not session.unknown and not engine.unanswered
+
+
+def test_a_submit_that_the_client_gave_up_may_have_been_applied() -> None:
+    """Guards against commands given anew, with other marks, after an answer that was too large."""
+    outgoing = OutgoingCommand(f.Leave(1, f.LEFT), None)
+    commands = tuple(
+        (f.Command(test_fleet_coordinator.FENCE, mark, outgoing.command), outgoing) for mark in (1, 2)
+    )
+    lost: list[f.Command] = []
+    engine = SimpleNamespace(
+        submitted=(submitted := SubmittedCommands(0, commands)),
+        clock=lambda: 10,
+        unanswered={},
+        outbox=[],
+        max_commands=2,
+        session=SimpleNamespace(lost=lambda command, _: lost.append(command)),
+    )
+    WorkflowEngine._on_submitted(engine, submitted, TooLargeError("k1", size=2, at_most=1))
+    assert [command.mark for command in lost] == [1, 2] and not engine.outbox
