Resting clients no longer keep their last statement, answer or large buffer

Cause: the session's function kept the last statement and answer in its local names until the next query; buffers of large messages that were not served stayed too. Each message is served by a call of its own now, and buffers shrink as a large message is taken from them.

--- a/laurelcourse/fronts/postgres/front.py
+++ b/laurelcourse/fronts/postgres/front.py
@@ -1,7 +1,7 @@
 """The PostgreSQL front: reads what clients send, takes it as reqs, and answers in order."""
 
 from laurelcourse.fronts.postgres import wire
-from laurelcourse.fronts.postgres.wire import FramingError, ProtocolError, Statement
+from laurelcourse.fronts.postgres.wire import Frame, FramingError, ProtocolError, Statement
 from laurelcourse.net.admission import Client, ClientAdmission
 from laurelcourse.net.config import Config
 from laurelcourse.net.connection import GOT
@@ -14,6 +14,16 @@
 MESSAGES_PER_TURN = 16  # of one client, before others run
 
 
+class Session:
+    """What is kept of one client between its messages."""
+
+    __slots__ = ("is_skipping", "message_count")
+
+    def __init__(self) -> None:
+        self.is_skipping = False  # up to the next Sync, after a message of the extended protocol
+        self.message_count = 0
+
+
 class Front:
     """Serves clients of the PostgreSQL protocol."""
 
@@ -73,51 +83,69 @@
                 return False
 
     def _run_session(self, client: Client) -> None:
-        conn, buffer, skipping, message_count = client.conn, client.conn.buffer, False, 0
-        while True:
-            try:
-                frame = wire.parse_frame(buffer.data, buffer.start, buffer.end, self.limits.max_message)
-                if frame is None:
-                    if not self.admission.wait_for_bytes(client, self._unfinished_reply):
-                        return
-                    continue
-                self.admission.partial.pop(client, None)
-                message_count += 1
-                if message_count % MESSAGES_PER_TURN == 0:
-                    self.scheduler.yield_to_others()
-                letter = chr(frame.kind)
-                if frame.end > buffer.end:
-                    # Its head says that it is too long: its body is not waited for.
-                    raise FramingError(wire.LIMIT_EXCEEDED, "a message over the limit")
-                begin, buffer.start = frame.begin, frame.end
-                if letter == "X":
-                    return
-                if letter == "S":
-                    skipping = False
-                    reply = wire.READY
-                elif skipping:
-                    continue
-                elif letter == "Q":
-                    sql = wire.query_text(bytes(buffer.data[begin : frame.end]))
-                    reply = self._query(client, sql)
-                elif frame.kind in wire.EXTENDED_QUERY_TYPES:
-                    skipping = True
-                    raise ProtocolError(wire.NOT_SUPPORTED, "simple queries only")
-                elif letter == "F":
-                    raise ProtocolError(wire.NOT_SUPPORTED, "no function calls")
-                else:
-                    raise FramingError(wire.PROTOCOL_VIOLATION, "an unknown message")
-            except ProtocolError as error:
-                client.faults_in_a_row += 1
-                if isinstance(error, FramingError) or client.faults_in_a_row >= self.limits.max_faults:
-                    return self._reject(client, error)
-                if client.faults_in_a_row > 1:
-                    # A client that repeats its fault at once would take the CPU from the others.
-                    self._delay_fault(client)
-                    self.admission.faulty.pop(client, None)
-                reply = self._error_reply(error) + (b"" if skipping else wire.READY)
-            if reply is None or not conn.write(reply):
-                return
+        session = Session()
+        while self._serve_message(client, session):
+            pass
+
+    def _serve_message(self, client: Client, session: Session) -> bool:
+        """Serves the next message, or waits for more of it; returns whether the connection stays.
+
+        What belongs to one message ends with this call: a client that rests must not keep its last statement.
+        """
+        buffer = client.conn.buffer
+        try:
+            frame = wire.parse_frame(buffer.data, buffer.start, buffer.end, self.limits.max_message)
+            if frame is None:
+                return self.admission.wait_for_bytes(client, self._unfinished_reply)
+            self._begin_message(client, session)
+            if frame.end > buffer.end:
+                # Its head says that it is too long: its body is not waited for.
+                raise FramingError(wire.LIMIT_EXCEEDED, "a message over the limit")
+            reply = self._handle_message(client, session, frame)
+        except ProtocolError as error:
+            fault = error.with_traceback(None)  # its frames hold the message
+        else:
+            return reply is not None and client.conn.write(reply)
+        return self._answer_fault(client, session, fault)
+
+    def _answer_fault(self, client: Client, session: Session, fault: ProtocolError) -> bool:
+        """Answers a message that could not be served; returns whether the connection stays."""
+        client.faults_in_a_row += 1
+        if isinstance(fault, FramingError) or client.faults_in_a_row >= self.limits.max_faults:
+            self._reject(client, fault)
+            return False
+        if client.faults_in_a_row > 1:
+            # A client that repeats its fault at once would take the CPU from the others.
+            self._delay_fault(client)
+            self.admission.faulty.pop(client, None)
+        return client.conn.write(self._error_reply(fault) + (b"" if session.is_skipping else wire.READY))
+
+    def _begin_message(self, client: Client, session: Session) -> None:
+        self.admission.partial.pop(client, None)
+        session.message_count += 1
+        if session.message_count % MESSAGES_PER_TURN == 0:
+            self.scheduler.yield_to_others()
+
+    def _handle_message(self, client: Client, session: Session, frame: Frame) -> bytes | None:
+        """Returns the reply to a whole message; None if the connection is over. Raises ProtocolError."""
+        buffer, letter = client.conn.buffer, chr(frame.kind)
+        if letter == "Q" and not session.is_skipping:
+            # No name is bound to its text here: that would keep it until the req has ended.
+            return self._query(client, wire.query_text(buffer.pop(frame.begin, frame.end)))
+        buffer.consume_to(frame.end)
+        if letter == "X":
+            return None
+        if letter == "S":
+            session.is_skipping = False
+            return wire.READY
+        if session.is_skipping:
+            return b""
+        if frame.kind in wire.EXTENDED_QUERY_TYPES:
+            session.is_skipping = True
+            raise ProtocolError(wire.NOT_SUPPORTED, "simple queries only")
+        if letter == "F":
+            raise ProtocolError(wire.NOT_SUPPORTED, "no function calls")
+        raise FramingError(wire.PROTOCOL_VIOLATION, "an unknown message")
 
     def _unfinished_reply(self) -> bytes:
         error = ProtocolError(wire.PROTOCOL_VIOLATION, "a message not finished in time")
--- a/laurelcourse/net/connection.py
+++ b/laurelcourse/net/connection.py
@@ -47,6 +47,17 @@
         """Consumes some bytes."""
         self.start += count
 
+    def consume_to(self, position: int) -> None:
+        """Consumes the bytes before a position, and gives up the space of a large message that ends there."""
+        self.start = position
+        self.shrink()
+
+    def pop(self, begin: int, end: int) -> bytes:
+        """Returns the bytes between two positions, and consumes all before the second."""
+        taken = bytes(self.data[begin:end])
+        self.consume_to(end)
+        return taken
+
     def take(self) -> bytes:
         """Consumes and returns all bytes."""
         taken, self.start = bytes(self.data[self.start : self.end]), self.end
