Large reqs under way and half-sent manifests are counted, and stay within the memory

Operators saw relays killed for memory under clients that stop half way through large requests. Cause: bodies of a TUF front and statements whose reqs are under way were counted nowhere. net/client_memory.py counts both; what is over its part is shed at once, as nothing was sent on.

--- a/laurelcourse/fronts/postgres/front.py
+++ b/laurelcourse/fronts/postgres/front.py
@@ -121,7 +121,7 @@
         return client.conn.write(self._error_reply(fault) + (b"" if session.is_skipping else wire.READY))
 
     def _begin_message(self, client: Client, session: Session) -> None:
-        self.admission.partial.pop(client, None)
+        self.admission.end_message(client)
         session.message_count += 1
         if session.message_count % MESSAGES_PER_TURN == 0:
             self.scheduler.yield_to_others()
@@ -192,8 +192,12 @@
             # The req was read late: nothing is sent for a client that left before the first try.
             self.counters.add(f"reqs.{statement.route}.{WITHDRAWN}")
             return None
+        on_over = self.admission.hold_message(statement.size())
+        if on_over is None:
+            self.counters.add(f"reqs.{statement.route}.{SHED}")
+            return self._final_reply(SHED, 0) + wire.READY
         mailbox = Mailbox(self.scheduler)
-        if not self.lifecycle.begin(statement, mailbox, client.mailbox, client.conn.peer_has_closed):
+        if not self.lifecycle.begin(statement, mailbox, client.mailbox, client.conn.peer_has_closed, on_over):
             raise ProtocolError(wire.INVALID_VALUE, "id is that of a req under way")
         client.has_spoken, client.faults_in_a_row = True, 0
         if message := self.admission.next_message(client):
--- a/laurelcourse/fronts/postgres/wire.py
+++ b/laurelcourse/fronts/postgres/wire.py
@@ -95,6 +95,10 @@
     before_wait: bytes  # the statement's bytes on both sides of the wait that it names
     after_wait: bytes
 
+    def size(self) -> int:
+        """Returns the bytes of its text, but for the wait."""
+        return len(self.before_wait) + len(self.after_wait)
+
     def with_wait(self, wait_ms: int) -> bytes:
         """Returns the query to pass on, unchanged except for the time that the sender will wait."""
         return query(b"%b%d%b" % (self.before_wait, wait_ms, self.after_wait))
--- a/laurelcourse/fronts/tuf/front.py
+++ b/laurelcourse/fronts/tuf/front.py
@@ -130,7 +130,7 @@
                     ):
                         return None
                     continue
-                self.admission.partial.pop(client, None)
+                self.admission.end_message(client)
                 raw = bytes(buffer.data[buffer.start : end])
                 buffer.start = end
                 head = http_messages.parse_head(raw)
@@ -433,7 +433,9 @@
     def _read_body(self, client: Client, head: RequestHead) -> bytes | None:
         """Returns a manifest's bytes; None if they don't arrive in time."""
         conn, body = client.conn, bytearray()
-        deadline = self.scheduler.now() + self.limits.message_time
+        now = self.scheduler.now()
+        deadline = now + self.limits.message_time
+        self.admission.partial[client] = now
         if head.fields.get("expect", "").lower() == "100-continue":
             conn.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         while True:
@@ -441,7 +443,11 @@
             body += conn.buffer.data[conn.buffer.start : conn.buffer.start + count]
             conn.buffer.skip(count)
             if len(body) == head.length:
+                self.admission.end_message(client)
                 return bytes(body)
+            client.body_bytes = len(body)
+            if not self.admission.wait_for_memory(client):
+                return None
             if conn.read(deadline) != GOT:
                 self.counters.add("clients_faults.408")
                 self.admission.close_with_reply(client, self._timeout_response())
@@ -453,7 +459,11 @@
         timeout_ms = self.timeouts[MANIFEST] // MILLISECOND_US
         request = ManifestRequest(self.new_req_name(), head.path, timeout_ms, body, content_type)
         state = uptane.LOST  # unless an answer says more
-        self.lifecycle.begin(request, mailbox, client.mailbox)
+        on_over = self.admission.hold_message(len(body))
+        if on_over is None:
+            self.manifests.end(self.scheduler.now(), key, "")
+            raise RefusedError("too many large manifests are under way", DEFAULT_RETRY_AFTER_US)
+        self.lifecycle.begin(request, mailbox, client.mailbox, on_over=on_over)
         try:
             while message := self.admission.next_message(client):
                 kind, *content = message
--- a/laurelcourse/fronts/tuf/wiring.py
+++ b/laurelcourse/fronts/tuf/wiring.py
@@ -135,6 +135,7 @@
             max_rejected=max(limits.max_rejected // share, 1),
             max_upstream=max(limits.max_upstream // share, MIN_UPSTREAM_CONNECTIONS),
             unfinished_bytes=limits.unfinished_bytes // share,
+            under_way_bytes=limits.under_way_bytes // share,
         ),
     )
 
--- a/laurelcourse/lab/tuf_rig.py
+++ b/laurelcourse/lab/tuf_rig.py
@@ -17,6 +17,7 @@
 FRONT = "updates"
 REQUEST_TIMEOUT = 30  # seconds
 WARM_AFTER_MS = 1000.0
+DEFAULT_MEMORY_MB = 192  # of a relay
 
 # Attributes of the front's elements, by element or route.
 DEFAULT_ATTRIBUTES = {
@@ -53,6 +54,7 @@
         removed_guard: str = "",
         deployer: DeployerStandIn | None = None,
         use_directory: bool = True,
+        memory_mb: int = DEFAULT_MEMORY_MB,
     ) -> None:
         """Writes the settings of all relays.
 
@@ -60,6 +62,7 @@
         settings and, with `use_directory`, in a directory too. With a `deployer`, there is a release.
         """
         self.folder = folder
+        self.memory_mb = memory_mb
         self.mirrors = mirrors
         self.repositories = repositories
         self.directory = DirectoryStandIn()
@@ -97,6 +100,7 @@
             DeployerStandIn().address,
             {"revision": 1, "complete": True, "members": []},
             settings,
+            memory_mb=self.memory_mb,
         )
 
     def list_mirror(self, name: str, mirror: MirrorStandIn, phase: str = "active", build: int = 1) -> None:
--- a/laurelcourse/net/admission.py
+++ b/laurelcourse/net/admission.py
@@ -7,9 +7,10 @@
 import socket
 from collections.abc import Callable
 
+from laurelcourse.net.client_memory import ClientMemory
 from laurelcourse.net.connection import ENDED, GOT, Connection
 from laurelcourse.net.counters import Counters
-from laurelcourse.net.limits import Limits
+from laurelcourse.net.limits import HELD_COPIES, Limits
 from laurelcourse.net.scheduler import IO, LATE, MAIL, READ, SHUT, Mailbox, Scheduler
 
 OUT_OF_DESCRIPTORS = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM))
@@ -17,6 +18,10 @@
 HANG_UP_ONLY = 0  # event mask under which poll still reports a hang-up
 
 
+def _do_nothing() -> None:
+    """Ends a small message, which is not counted."""
+
+
 class Client:
     """A client connection and the mailbox of its task."""
 
@@ -25,6 +30,7 @@
         self.stopping = False
         self.has_spoken = False  # it has sent something that could be served
         self.faults_in_a_row = 0
+        self.body_bytes = 0  # of an unfinished message, beside what its buffer holds
         self.stop_seen_at = 0  # when its task learned of the stop, between reqs
 
     def stop(self) -> None:
@@ -56,6 +62,7 @@
         self.partial: dict[Client, int] = {}  # inside a message
         self.faulty: dict[Client, int] = {}  # sent something that could not be served
         self.rejected: dict[Client, int] = {}  # were told that there is no room
+        self.memory = ClientMemory(limits.unfinished_bytes, limits.under_way_bytes)
         self.room_freed = Mailbox(scheduler)
         self.listener: socket.socket | None = None
         self.last_accepted_at = 0
@@ -147,8 +154,29 @@
         client.conn.close()
         for clients in (self.open, self.admitted):
             clients.discard(client)
-        for since_by_client in (self.silent, self.idle, self.partial, self.faulty, self.rejected):
+        for since_by_client in (self.silent, self.idle, self.faulty, self.rejected):
             since_by_client.pop(client, None)
+        self.end_message(client)
+
+    def end_message(self, client: Client) -> None:
+        """Notes that a client's message is whole, or that it never will be."""
+        if client in self.partial:
+            del self.partial[client]
+            self.memory.end_unfinished(client)
+            client.body_bytes = 0
+
+    def hold_message(self, size: int) -> Callable[[], None] | None:
+        """Counts a whole message whose req begins; returns what to call at the req's end.
+
+        Returns None if large messages under way use all of their part of the memory.
+        """
+        if size <= self.limits.usual_buffer:
+            return _do_nothing
+        held = HELD_COPIES * size
+        if not self.memory.begin(held):
+            self.counters.add("clients_over_memory.under_way")
+            return None
+        return lambda: self.memory.end(held)
 
     def make_room(self) -> bool:
         """Closes the connection that can best be spared; returns whether there was one.
@@ -273,11 +301,9 @@
         there must not be closed for lack of memory. One that does not go on in time is closed.
         """
         conn, limits = client.conn, self.limits
-        while (
-            conn.open
-            and len(conn.buffer.data) > limits.usual_buffer
-            and limits.unfinished_bytes < sum(len(other.conn.buffer.data) for other in self.partial)
-        ):
+        held = len(conn.buffer.data) + client.body_bytes
+        self.memory.set_unfinished(client, held)
+        while conn.open and held > limits.usual_buffer and not self.memory.has_room_for_unfinished():
             oldest, began = next(iter(self.partial.items()))
             if began + 4 * limits.min_idle_if_crowded <= self.scheduler.now() and not oldest.conn.peek():
                 self.counters.add("clients_over_memory")
--- a/laurelcourse/net/limits.py
+++ b/laurelcourse/net/limits.py
@@ -10,6 +10,7 @@
 MAX_STOP_TIME = 3 * SECOND  # that the platform allows for answers after SIGTERM
 MIN_SOCKETS = 32  # the process and its peers use sixteen; with fewer than that many more it serves nobody
 RESERVED_SOCKETS = 16
+HELD_COPIES = 2  # of a message whose req is under way: its own, and the one that is being written to a unit
 MAX_MESSAGE_BYTES = 136 * KIB  # a value of 64 KiB in hexadecimal digits, and the statement around it
 
 
@@ -39,6 +40,7 @@
     max_faults: int  # of a client in a row, until its connection is closed
     fault_delay: int  # before the reply to a repeated fault, or to one that ends the connection
     unfinished_bytes: int  # of all clients' unfinished messages together
+    under_way_bytes: int  # of all large messages whose reqs are under way
     max_discarded: int  # bytes read and dropped while a connection closes
     response_time: int  # within which a response that has begun is complete; TCP resends after 0.2 s
     settle_time: int  # a connection to a unit is not reused for so long: unexpected bytes show by then
@@ -102,6 +104,7 @@
         max_faults=4,
         fault_delay=500 * MILLISECOND,
         unfinished_bytes=max(memory >> 4, 2 * MAX_MESSAGE_BYTES),
+        under_way_bytes=max(memory >> 2, 2 * HELD_COPIES * MAX_MESSAGE_BYTES),
         max_discarded=256 * KIB,
         response_time=500 * MILLISECOND,
         settle_time=50 * MILLISECOND,
--- a/laurelcourse/net/req.py
+++ b/laurelcourse/net/req.py
@@ -45,18 +45,23 @@
         mailbox: Mailbox,
         client_mailbox: Mailbox,
         client_has_left: Callable[[], bool] | None = None,
+        on_over: Callable[[], None] = lambda: None,
     ) -> bool:
         """Starts a req's task; returns False if a req with its id is under way.
 
         Its one answer (ANSWER, end, value) goes to the client's mailbox. GONE in the req's mailbox says that
-        the client has left; `client_has_left` is asked right before bytes go to a unit.
+        the client has left; `client_has_left` is asked right before bytes go to a unit. `on_over` is called
+        once nothing holds the request any more.
         """
         if not self.dispatcher.register(request.req, mailbox, client_has_left):
+            on_over()
             return False
-        self.scheduler.spawn(self._run, request, mailbox, client_mailbox)
+        self.scheduler.spawn(self._run, request, mailbox, client_mailbox, on_over)
         return True
 
-    def _run(self, request: Request, mailbox: Mailbox, client_mailbox: Mailbox) -> None:
+    def _run(
+        self, request: Request, mailbox: Mailbox, client_mailbox: Mailbox, on_over: Callable[[], None]
+    ) -> None:
         """Runs until the req is answered and no try is open."""
         req, route, dispatcher = request.req, request.route, self.dispatcher
         tries: list[UpstreamTry] = []
@@ -98,4 +103,5 @@
                 end = ERRORED
                 client_mailbox.put((ANSWER, end, None))
             dispatcher.unregister(req)
+            on_over()
             self.counters.add(f"reqs.{route}.{end}")
--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -2,19 +2,30 @@
 
 import contextlib
 import re
+import socket
 import threading
+import time
 from collections.abc import Callable, Iterator
 from pathlib import Path
 
 import pytest
 from conftest import Served
 
-from laurelcourse.standins.postgres import PgClient, build_query, pack_message
+from laurelcourse.lab.tuf_rig import TufRig
+from laurelcourse.standins.base import RELAY_HOST, wait_until
+from laurelcourse.standins.mirror import MirrorStandIn
+from laurelcourse.standins.postgres import STARTUP, PgClient, build_query, pack_message
+from laurelcourse.standins.repository import TufRepository
 
 MEMORY_MB = 32  # the least that the pages allow
 VALUE_BYTES = 64 << 10  # the largest value that the pages allow
 MANY = 150
 SAMPLE_INTERVAL = 0.01  # seconds
+HOLD_SECONDS = 1.5
+TUF_MEMORY_MB = 48  # beside a front with its libraries
+MANIFESTS = "/director/manifest"
+COMPLETED = ("TDCZ", "")
+FILE = "/image/targets/first.bin"
 
 
 def resident_mb(pid: int) -> float:
@@ -85,3 +96,102 @@
             client.sock.sendall(message)
             assert client.stream.read(1) == b"E"
     assert memory.peak_mb < MEMORY_MB
+
+
+def hold(port: int, sent: bytes, over: threading.Event) -> None:
+    """Connects, sends, and stays until `over`, whatever the relay does."""
+    with contextlib.suppress(OSError), socket.create_connection((RELAY_HOST, port)) as sock:
+        sock.sendall(sent)
+        over.wait()
+
+
+@contextlib.contextmanager
+def holding_clients(port: int, sent: bytes, count: int) -> Iterator[None]:
+    """Runs clients that send the same bytes at once, and stay for a while."""
+    over = threading.Event()
+    threads = [threading.Thread(target=hold, args=(port, sent, over), daemon=True) for _ in range(count)]
+    for thread in threads:
+        thread.start()
+    try:
+        yield
+        over.wait(HOLD_SECONDS)
+    finally:
+        over.set()
+        for thread in threads:
+            thread.join()
+
+
+@pytest.mark.parametrize(
+    "sent",
+    [
+        asked(large_statement())[:-1000],
+        STARTUP[:4] + bytes(range(256)),
+        STARTUP + asked(large_statement())[:-1000],
+    ],
+    ids=["no-startup", "no-protocol", "half"],
+)
+def test_unfinished_messages_stay_within_memory(serve: Callable[..., Served], sent: bytes) -> None:
+    served = serve(memory=MEMORY_MB)
+    with PeakMemory(served.process.pid) as memory, holding_clients(served.port, sent, 2 * MANY):
+        assert served.client().ask(build_query())[0] == "TDCZ"
+    assert memory.peak_mb < MEMORY_MB and served.count("tasks_died") == 0
+
+
+def ask_again_and_again(served: Served, over: threading.Event, answers: list[tuple[str, str]]) -> None:
+    """Runs a client with one large req after another."""
+    with contextlib.suppress(OSError):
+        client = served.client()
+        while not over.is_set():
+            answers.append(client.ask(large_statement())[:2])
+            if answers[-1] != COMPLETED:
+                over.wait(0.2)
+
+
+def test_large_reqs_under_way_stay_within_memory(serve: Callable[..., Served]) -> None:
+    """Guards against large statements under way that nothing bounded: 36 MB with 200 clients."""
+    served, over = serve(memory=MEMORY_MB, units=12, modes="slow0.3"), threading.Event()
+    answers: list[tuple[str, str]] = []
+    clients = [threading.Thread(target=ask_again_and_again, args=(served, over, answers)) for _ in range(200)]
+    with PeakMemory(served.process.pid) as memory:
+        for client in clients:
+            client.start()
+            time.sleep(0.01)
+        over.wait(4)
+        over.set()
+        for client in clients:
+            client.join()
+    assert memory.peak_mb < MEMORY_MB
+    assert served.count("clients_over_memory.under_way") and answers.count(COMPLETED) > len(clients)
+    assert len(served.queries()) == answers.count(COMPLETED)  # what is shed never ran
+    assert served.client().ask(large_statement())[:2] == COMPLETED  # their part is free again
+
+
+@pytest.fixture
+def kiosks(tmp_path: Path) -> Iterator[TufRig]:
+    """Starts a relay with a TUF front that takes manifests."""
+    both = {"/image/": TufRepository(consistent=False), "/director/": TufRepository(consistent=False)}
+    for repository in both.values():
+        repository.add("first.bin", b"first")
+        repository.publish()
+    uptane = {"image": "image", "director": "director", "manifests": MANIFESTS, "counter": "report_counter"}
+    mirrors = [MirrorStandIn(both, director="deduped") for _ in range(2)]
+    rig = TufRig(tmp_path, both, mirrors, overrides={"uptane": uptane}, memory_mb=TUF_MEMORY_MB)
+    with contextlib.closing(rig):
+        yield rig.start()
+
+
+@pytest.mark.parametrize(
+    "sent",
+    [
+        f"POST {MANIFESTS} HTTP/1.1\r\nHost: a\r\nContent-Length: 262144\r\n\r\n".encode() + bytes(262_000),
+        b"GET / HTTP/1.1\r\nHost: a\r\n" + b"a:\r\n" * 4000,
+        b"GET / HTTP/1.1\r\nHost: a\r\n" + b"a:\r\n" * 60 + b"\r\n",
+    ],
+    ids=["half-a-manifest", "a-head-of-short-fields", "whole-heads"],
+)
+def test_unfinished_requests_to_a_tuf_front_stay_within_memory(kiosks: TufRig, sent: bytes) -> None:
+    """Guards against bodies that no part of the memory bounded: 81 MB with 190 manifests half way."""
+    wait_until(lambda: kiosks.request(FILE)[0] == 200)
+    with PeakMemory(kiosks.relays[0].process.pid) as memory, holding_clients(kiosks.ports[0], sent, MANY):
+        assert kiosks.request(FILE)[0] == 200
+    assert memory.peak_mb < TUF_MEMORY_MB
