Workflows' port: one connection's calls no longer hold up those of all others

Operators saw other clients' answers late or never, and relays over their memory. Driven: with 400 Starts of one connection a sound booking had no answer in 5.3 s; 20 connections with 100 half-sent calls each took 123 MB and every place. Causes: commands went out in the order in which they came, with nothing behind a third Begin; a call held its place without end while its message did not come; calls that were given up left their commands. Two causes in one commit, since both need the connection's name in each call.

--- a/laurelcourse/fleet/calls/mailbox.py
+++ b/laurelcourse/fleet/calls/mailbox.py
@@ -53,6 +53,11 @@
                 return None
             self.scheduler.wait(self.wake_reader.fileno(), READ, until=until)
 
+    def get_now(self) -> object | None:
+        """Returns the next item without waiting; None if there is none."""
+        with self.lock:
+            return self.items.popleft() if self.items else None
+
     def close(self) -> None:
         """Refuses further items; those in the queue can still be got."""
         with self.lock:
--- a/laurelcourse/fleet/workflows/engine.py
+++ b/laurelcourse/fleet/workflows/engine.py
@@ -22,7 +22,6 @@
     Leave,
     Result,
     Settle,
-    What,
 )
 from laurelcourse.fleet.books.workflows import WorkflowView
 from laurelcourse.fleet.calls.mailbox import CrossThreadMailbox
@@ -37,6 +36,7 @@
 from laurelcourse.fleet.orders import Answer, Question, Submit
 from laurelcourse.fleet.workflows import run, statements, views
 from laurelcourse.fleet.workflows.definition import Definition
+from laurelcourse.fleet.workflows.outbox import Outbox, OutgoingCommand, take_in_turn
 from laurelcourse.fleet.workflows.step_sender import StepSender
 from laurelcourse.fleet.workflows.takeover import Takeover, TakeoverLimits
 from laurelcourse.prng import Prng
@@ -52,18 +52,12 @@
 MAX_ADOPTIONS = 32  # asked for in one interval
 MAX_OWNED = 1_000  # workflows; above that no orphan is asked for
 MAX_CLIENTS = 1_000  # that wait at one relay
+MAX_LETTERS_PER_TURN = 32  # carried out before other tasks of the process run
 
 OnResult = Callable[[Done], None]
 OnAnswer = Callable[[run.ClientAnswer | FleetError], None]
 
 
-class OutgoingCommand(NamedTuple):
-    """A command, and what its result is passed to."""
-
-    command: What
-    on_result: OnResult
-
-
 class SubmittedCommands(NamedTuple):
     """Commands whose answer is awaited."""
 
@@ -78,6 +72,14 @@
     numbers: tuple[int, ...]
 
 
+class StartingClient(NamedTuple):
+    """A client whose Begin has no result yet."""
+
+    until: int
+    on_answer: OnAnswer
+    client: str  # its connection
+
+
 class Client(NamedTuple):
     """A client that waits for a workflow, and what its answer is passed to."""
 
@@ -117,8 +119,9 @@
         self.views: dict[int, WorkflowView] = {}
         self.clients: dict[int, list[Client]] = {}
         self.client_deadlines: dict[int, int] = {}  # by workflow; 0: the client has left
-        self.starting: list[tuple[int, OnAnswer]] = []  # clients whose Begin has no result yet; until when
-        self.outbox: list[OutgoingCommand] = []
+        self.starting: list[StartingClient] = []
+        self.started_by: dict[int, str] = {}  # by workflow: the connection of its client
+        self.outbox = Outbox()
         self.submitted: SubmittedCommands | None = None
         self.max_commands = MAX_COMMANDS  # of the next Submit
         self.unanswered: dict[tuple[int, int], OutgoingCommand] = {}  # by session and mark
@@ -151,8 +154,9 @@
         values: tuple[tuple[str, str], ...],
         until: int,
         on_answer: OnAnswer,
+        client: str,
     ) -> None:
-        """Begins a workflow; its client waits until `until`."""
+        """Begins a workflow; its client waits until `until`. `client` names the connection of the call."""
         definition = self.definitions.get(name)
         if definition is None:
             on_answer(DefinitionRefusedError(name, fault="the settings name no such workflow"))
@@ -166,12 +170,14 @@
         if fault is not None:
             on_answer(fault)
             return
-        entry = until, on_answer
+        entry = StartingClient(until, on_answer, client)
         self.starting.append(entry)
-        self.outbox.append(OutgoingCommand(begin, lambda result: self._on_begun(entry, result)))
+        self.outbox.append(
+            OutgoingCommand(begin, lambda result: self._on_begun(entry, result), client, on_answer)
+        )
 
-    def _on_begun(self, entry: tuple[int, OnAnswer], result: Done) -> None:
-        until, on_answer = entry
+    def _on_begun(self, entry: "StartingClient", result: Done) -> None:
+        until, on_answer, connection = entry
         is_waiting = entry in self.starting
         if is_waiting:
             self.starting.remove(entry)
@@ -182,6 +188,7 @@
         number = result.value[0]
         # Without a client that waits, it is turned back before its first step.
         self.client_deadlines[number] = until if is_waiting else 0
+        self.started_by[number] = connection
         if is_waiting:
             client = Client(run.WaitingClient(number, until), on_answer)
             self.clients.setdefault(number, []).append(client)
@@ -197,24 +204,30 @@
         waiting = run.WaitingClient(number, 0)
         self._want_view(number, lambda: on_answer(waiting.answer(self.clock(), self.views.get(number))))
 
-    def leave(self, number: int, on_answer: OnAnswer) -> None:
+    def leave(self, number: int, on_answer: OnAnswer, client: str) -> None:
         """Has a workflow undone, unless it is too late."""
-        self._submit_and_look(Leave(number, LEFT), number, on_answer)
+        self._submit_and_look(Leave(number, LEFT), number, on_answer, client)
 
-    def settle(self, number: int, step: int, how: str, on_answer: OnAnswer) -> None:
+    def settle(self, number: int, step: int, how: str, on_answer: OnAnswer, client: str) -> None:
         """Settles a stuck step."""
-        self._submit_and_look(Settle(number, step, how), number, on_answer)
+        self._submit_and_look(Settle(number, step, how), number, on_answer, client)
+
+    def client_left(self, on_answer: OnAnswer, client: str) -> None:
+        """The client behind `on_answer` has left: its workflow is undone, unless it is too late.
 
-    def client_left(self, on_answer: OnAnswer) -> None:
-        """The client behind `on_answer` has left: its workflow is undone, unless it is too late."""
-        self.starting = [entry for entry in self.starting if entry[1] is not on_answer]
+        A command that has not been submitted yet is not submitted at all.
+        """
+        self.outbox.discard(client, on_answer)
+        self.starting = [entry for entry in self.starting if entry.on_answer is not on_answer]
         for number, clients in self.clients.items():
             if any(client.on_answer is on_answer for client in clients):
                 self.outbox.append(OutgoingCommand(Leave(number, LEFT), lambda _: None))
                 if number in self.runs:
                     self.runs[number].client_left()
 
-    def _submit_and_look(self, command: Leave | Settle, number: int, on_answer: OnAnswer) -> None:
+    def _submit_and_look(
+        self, command: Leave | Settle, number: int, on_answer: OnAnswer, client: str
+    ) -> None:
         fault = _find_out_of_bounds(command)
         if fault is not None:
             on_answer(fault)
@@ -226,7 +239,7 @@
             else:
                 self.look(number, on_answer)
 
-        self.outbox.append(OutgoingCommand(command, on_result))
+        self.outbox.append(OutgoingCommand(command, on_result, client, on_answer))
 
     # The task
 
@@ -244,10 +257,23 @@
             self._submit(now, has_lease)
             self._request_views(now)
             wait = max(self._due(has_lease) - self.clock(), 0)
-            letter = self.mailbox.get(self.member.scheduler.now() + wait)
-            if letter is not None:
-                call, args = letter
-                call(*args)
+            self._take_letters(self.member.scheduler.now() + wait)
+
+    def _take_letters(self, until: int) -> None:
+        """Waits for letters and carries out what has come.
+
+        However many come, the process's other tasks have their turn in between.
+        """
+        letter = self.mailbox.get(until)
+        count = 0
+        while letter is not None:
+            call, args = letter
+            call(*args)
+            count += 1
+            if count == MAX_LETTERS_PER_TURN:
+                self.member.scheduler.yield_to_others()
+                return
+            letter = self.mailbox.get_now()
 
     def _due(self, has_lease: bool) -> int:
         return min(
@@ -255,7 +281,7 @@
                 self.next_refresh,
                 *(workflow_run.due() for workflow_run in self.runs.values() if has_lease),
                 *(client.waiting.due() for clients in self.clients.values() for client in clients),
-                *(until for until, _ in self.starting),
+                *(entry.until for entry in self.starting),
             ]
         )
 
@@ -319,9 +345,13 @@
             if workflow_run.state == run.OVER:
                 del self.runs[number]
                 self.stuck.discard(number)
-                self.client_deadlines.pop(number, None)
+                self._forget_client(number)
                 self.owned_at.pop(number, None)
 
+    def _forget_client(self, number: int) -> None:
+        self.client_deadlines.pop(number, None)
+        self.started_by.pop(number, None)
+
     def _may_undo(self) -> bool:
         return self.member.holder.consume(self.clock(), UNDO_BUDGET) is not False
 
@@ -330,7 +360,8 @@
             workflow_run = self.runs[number]
             if isinstance(effect, run.SubmitCommand):
                 on_result = self._on_result_of(number, workflow_run, effect.command)
-                self.outbox.append(OutgoingCommand(effect.command, on_result))
+                client = self.started_by.get(number, "")
+                self.outbox.append(OutgoingCommand(effect.command, on_result, client))
             else:
                 self._send(workflow_run, effect)
 
@@ -390,9 +421,10 @@
         self.sender.send(send, time_left, intent.tried > 1, may_send, on_outcome)
 
     def _answer_clients(self, now: int) -> None:
-        for until, on_answer in [entry for entry in self.starting if entry[0] <= now]:
-            self.starting.remove((until, on_answer))
-            on_answer(UnknownFateError(self.session.name))
+        for entry in [entry for entry in self.starting if entry.until <= now]:
+            self.starting.remove(entry)
+            self.outbox.discard(entry.client, entry.on_answer)
+            entry.on_answer(UnknownFateError(self.session.name))
         for number in sorted(self.clients):
             clients = self.clients[number]
             for client in list(clients):
@@ -404,7 +436,7 @@
             if not clients:
                 del self.clients[number]
                 if number not in self.runs:
-                    self.client_deadlines.pop(number, None)
+                    self._forget_client(number)
         for number in list(self.views):
             if number not in self.runs and number not in self.clients and number not in self.views_wanted:
                 del self.views[number]
@@ -431,13 +463,8 @@
 
     def _take_commands(self, now: int) -> list[tuple[Command, OutgoingCommand]]:
         """Takes the next commands from the outbox; those that the session refuses get its error."""
-        taken = begins = 0
         commands = []
-        for outgoing in self.outbox[: self.max_commands]:
-            begins += isinstance(outgoing.command, Begin)
-            if begins > MAX_BEGINS:
-                break
-            taken += 1
+        for outgoing in self.outbox.take(self.max_commands, MAX_BEGINS):
             try:
                 command = self.session.command(outgoing.command, now)
                 self.member.client.check_sendable(command)
@@ -445,7 +472,6 @@
             except FleetError as error:
                 figures = tuple(sorted(error.figures.items()))
                 outgoing.on_result(Done(code=error.code, to=error.to, told=figures))
-        del self.outbox[:taken]
         return commands
 
     def _submit_later(self, submitted: SubmittedCommands, code: str) -> None:
@@ -453,7 +479,7 @@
 
         They get other marks then: none of these is known anywhere.
         """
-        self.outbox[:0] = [outgoing for _, outgoing in submitted.commands]
+        self.outbox.put_back(outgoing for _, outgoing in submitted.commands)
         if code == TooLargeError.code:
             self.max_commands = max(len(submitted.commands) // 2, 1)
 
@@ -493,7 +519,8 @@
             self.view_request = None
         if self.view_request is not None or not self.views_wanted:
             return
-        numbers = tuple(sorted(self.views_wanted)[: views.MAX_VIEWS])
+        wanted = sorted(self.views_wanted)
+        numbers = tuple(take_in_turn(wanted, lambda number: self.started_by.get(number, ""), views.MAX_VIEWS))
         request = self.view_request = ViewRequest(now, numbers)
         callbacks = {number: self.views_wanted.pop(number) for number in numbers}
         self._ask(
--- a/tests/test_fleet_workflow_processes.py
+++ b/tests/test_fleet_workflow_processes.py
@@ -591,3 +591,26 @@
     )
     WorkflowEngine._on_submitted(engine, submitted, TooLargeError("k1", size=2, at_most=1))
     assert [command.mark for command in lost] == [1, 2] and not engine.outbox
+
+
+def test_a_client_with_hundreds_of_workflows_does_not_hold_up_another(fleet: Fleet) -> None:
+    """Guards against Begins of one connection that kept all others waiting: 5.3 s, and no answer."""
+    address = f"{RELAY_HOST}:{fleet.host.workflow_ports['m1']}"
+    # Channels of one process share a connection unless told otherwise.
+    channel = grpc.insecure_channel(address, [("grpc.use_local_subchannel_pool", 1)])
+    stub = fleet_pb2_grpc.FlowsStub(channel)
+    orders = (
+        wire.StartOrder(
+            definition="booking",
+            tenant="crowd",
+            mark=f"crowd-{number}",
+            values=[wire.Given(name=name, value=f"crowd-{number}") for name in ("room", "device")],
+            wait=6_000_000,
+        )
+        for number in range(400)
+    )
+    calls = [stub.Start.future(order, timeout=7) for order in orders]
+    assert fleet.start("among-many", wait=4.0).answer == DONE
+    for call in calls:
+        call.cancel()
+    channel.close()
--- a/tests/test_fleet_workflow_service.py
+++ b/tests/test_fleet_workflow_service.py
@@ -4,7 +4,7 @@
 import threading
 import time
 from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from contextlib import ExitStack, contextmanager
 
 import grpc
 import pytest
@@ -12,7 +12,14 @@
 
 from laurelcourse.fleet.calls import fleet_pb2 as wire
 from laurelcourse.fleet.calls import fleet_pb2_grpc
-from laurelcourse.fleet.calls.flows_service import FlowsService
+from laurelcourse.fleet.calls.channel import SECOND
+from laurelcourse.fleet.calls.flows_service import (
+    FAULT_DELAY,
+    MAX_CALLS,
+    MAX_STREAMS,
+    READ_TIME,
+    FlowsService,
+)
 from laurelcourse.fleet.errors import FleetError, error_from_code
 from laurelcourse.fleet.workflows.run import ClientAnswer
 from laurelcourse.standins.base import RELAY_HOST
@@ -41,10 +48,12 @@
 
     post_or_drop = post
 
-    def start(self, _: str, __: str, mark: str, ___: tuple, ____: int, on_answer: Callable) -> None:
+    def start(
+        self, _: str, __: str, mark: str, ___: tuple, ____: int, on_answer: Callable, client: str
+    ) -> None:
         self.asked[mark] = on_answer
 
-    def client_left(self, on_answer: Callable) -> None:
+    def client_left(self, on_answer: Callable, client: str) -> None:
         self.gone.append(on_answer)
 
     def tell(self, mark: str) -> None:
@@ -59,7 +68,7 @@
     channel = grpc.insecure_channel(address)
     try:
         stub = fleet_pb2_grpc.FlowsStub(channel)
-        stub.channel = channel
+        stub.channel, stub.address = channel, address
         yield service, stub
     finally:
         channel.close()
@@ -159,3 +168,57 @@
         FlowsService(Flows(), address, LIMITS)
     service.start()
     service.stop(0)
+
+
+def method_path(method: str) -> str:
+    return f"/{wire.DESCRIPTOR.services_by_name['Flows'].full_name}/{method}"
+
+
+def test_a_call_whose_message_does_not_come_ends_in_time() -> None:
+    """Guards against calls that held their place for ever, until no other was taken."""
+    over = threading.Event()
+
+    def messages() -> Iterator[bytes]:
+        over.wait(20)
+        yield b""
+
+    with served(Flows()) as (_, stub):
+        began = time.monotonic()
+        call = stub.channel.stream_unary(method_path("Start")).future(messages(), timeout=15)
+        assert call.code() is grpc.StatusCode.DEADLINE_EXCEEDED and "in time" in call.details()
+        assert time.monotonic() - began < 2 * READ_TIME / SECOND
+        over.set()
+
+
+def test_connections_that_open_all_they_may_leave_room_for_another() -> None:
+    """Guards against a few connections that took every place."""
+    flows = Flows()
+    calls = []  # a call that nobody refers to is cancelled
+    with served(flows) as (_, stub), ExitStack() as stack:
+        for number in range(6):
+            # Each with a connection of its own.
+            channel = grpc.insecure_channel(stub.address, [("grpc.use_local_subchannel_pool", 1)])
+            stack.callback(channel.close)
+            crowd = fleet_pb2_grpc.FlowsStub(channel)
+            calls += [
+                crowd.Start.future(order(f"{number}-{mark}"), timeout=30) for mark in range(MAX_STREAMS)
+            ]
+        wait_until(lambda: len(flows.asked) > MAX_CALLS // 2)
+        call = stub.Start.future(order(7), timeout=5)
+        wait_until(lambda: "7" in flows.asked or call.done())
+        flows.tell("7")
+        assert call.result(5).number == 7
+
+
+def test_faults_in_a_row_are_answered_late_and_only_to_their_sender() -> None:
+    """Guards against a client that took the CPU with calls that can't be served."""
+    with served(Flows()) as (service, stub):
+        garbage = stub.channel.unary_unary(method_path("Start"))
+        durations = []
+        for _ in range(3):
+            began = time.monotonic()
+            with pytest.raises(grpc.RpcError):
+                garbage(b"\xff" * 9, timeout=5)
+            durations.append(time.monotonic() - began)
+        assert durations[0] < FAULT_DELAY / SECOND <= min(durations[1:])
+        assert service.admission.open_calls == 0 and len(service.admission.faults_in_a_row) == 1
