A client at full speed has its turn with all others, at both fronts

Beside one connection with small requests at full speed a sound client of a TUF front had its answers after 74 ms in place of 2, one of the PostgreSQL front after 21 in place of 1. Cause: a task that yielded got up to 128 turns before the kernel was asked for others, and a TUF client never yielded. Who yields now waits for that; both fronts yield after four messages without a wait.

--- a/laurelcourse/fronts/postgres/front.py
+++ b/laurelcourse/fronts/postgres/front.py
@@ -11,17 +11,14 @@
 from laurelcourse.net.scheduler import MAIL, Mailbox, Scheduler
 from laurelcourse.settings import DEDUPED
 
-MESSAGES_PER_TURN = 16  # of one client, before others run
-
 
 class Session:
     """What is kept of one client between its messages."""
 
-    __slots__ = ("is_skipping", "message_count")
+    __slots__ = ("is_skipping",)
 
     def __init__(self) -> None:
         self.is_skipping = False  # up to the next Sync, after a message of the extended protocol
-        self.message_count = 0
 
 
 class Front:
@@ -93,11 +90,12 @@
         What belongs to one message ends with this call: a client that rests must not keep its last statement.
         """
         buffer = client.conn.buffer
+        self.admission.wait_for_turn(client)
         try:
             frame = wire.parse_frame(buffer.data, buffer.start, buffer.end, self.limits.max_message)
             if frame is None:
                 return self.admission.wait_for_bytes(client, self._unfinished_reply)
-            self._begin_message(client, session)
+            self.admission.end_message(client)
             if frame.end > buffer.end:
                 # Its head says that it is too long: its body is not waited for.
                 raise FramingError(wire.LIMIT_EXCEEDED, "a message over the limit")
@@ -120,12 +118,6 @@
             self.admission.faulty.pop(client, None)
         return client.conn.write(self._error_reply(fault) + (b"" if session.is_skipping else wire.READY))
 
-    def _begin_message(self, client: Client, session: Session) -> None:
-        self.admission.end_message(client)
-        session.message_count += 1
-        if session.message_count % MESSAGES_PER_TURN == 0:
-            self.scheduler.yield_to_others()
-
     def _handle_message(self, client: Client, session: Session, frame: Frame) -> bytes | None:
         """Returns the reply to a whole message; None if the connection is over. Raises ProtocolError."""
         buffer, letter = client.conn.buffer, chr(frame.kind)
--- a/laurelcourse/fronts/tuf/front.py
+++ b/laurelcourse/fronts/tuf/front.py
@@ -121,6 +121,7 @@
 
     def _read_head(self, client: Client) -> RequestHead | None:
         buffer = client.conn.buffer
+        self.admission.wait_for_turn(client)
         while True:
             try:
                 end = http_messages.find_head_end(buffer.data, buffer.start, buffer.end)
--- a/laurelcourse/net/admission.py
+++ b/laurelcourse/net/admission.py
@@ -16,6 +16,7 @@
 OUT_OF_DESCRIPTORS = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM))
 STOP = "stop"  # message to a client's task
 HANG_UP_ONLY = 0  # event mask under which poll still reports a hang-up
+MESSAGES_PER_TURN = 4  # of one client, before others run
 
 
 def _do_nothing() -> None:
@@ -30,6 +31,7 @@
         self.stopping = False
         self.has_spoken = False  # it has sent something that could be served
         self.faults_in_a_row = 0
+        self.messages_this_turn = 0
         self.body_bytes = 0  # of an unfinished message, beside what its buffer holds
         self.memory_wait = 0  # how long its unfinished message had to wait for memory
         self.stop_seen_at = 0  # when its task learned of the stop, between reqs
@@ -168,6 +170,13 @@
             client.body_bytes = client.memory_wait = 0
             self._wake_first_in_queue()
 
+    def wait_for_turn(self, client: Client) -> None:
+        """Lets others run before a client's next message, if it has had several in a row."""
+        client.messages_this_turn += 1
+        if client.messages_this_turn > MESSAGES_PER_TURN:
+            client.messages_this_turn = 0
+            self.scheduler.yield_to_others()
+
     def hold_message(self, size: int) -> Callable[[], None] | None:
         """Counts a whole message whose req begins; returns what to call at the req's end.
 
@@ -217,6 +226,7 @@
         client that sends nothing for `idle_timeout` is closed.
         """
         conn, now = client.conn, self.scheduler.now()
+        client.messages_this_turn = 0  # the wait lets others run
         if not client.stopping:
             deadline, waiting = None if idle_timeout is None else now + idle_timeout, self.idle
             if conn.buffer:
@@ -315,7 +325,7 @@
             elif oldest is client:
                 break
             else:
-                self._wait_for_turn(client)
+                self._wait_in_memory_queue(client)
         if self.memory_queue.pop(client, None):
             self._wake_first_in_queue()
         client.memory_wait += self.scheduler.now() - began_waiting
@@ -329,7 +339,7 @@
         if self.memory_queue and (first := self._first_in_queue()):
             self.memory_queue[first].put(None)
 
-    def _wait_for_turn(self, client: Client) -> None:
+    def _wait_in_memory_queue(self, client: Client) -> None:
         """Waits until another message has ended, or is stalled for so long that it may be given up."""
         mailbox = self.memory_queue.setdefault(client, Mailbox(self.scheduler))
         # The first looks often whether the oldest message is stalled; for all others it would cost too much.
--- a/laurelcourse/net/scheduler.py
+++ b/laurelcourse/net/scheduler.py
@@ -92,6 +92,7 @@
         self.waiting: dict[int, Task] = {}  # by descriptor
         self.registered: dict[int, int] = {}  # descriptors in the poll object, more than are waited on
         self.ready: deque[tuple[Task, str]] = deque()
+        self.yielded: deque[tuple[Task, str]] = deque()  # ready again once the kernel has been asked
         self.heap: list[tuple[int, int, Timer]] = []
         self.push_count = self.cancelled_count = 0
 
@@ -118,8 +119,10 @@
         self.wait(until=self.now() + delay)
 
     def yield_to_others(self) -> None:
-        """Lets every other ready task run first."""
-        self.wake(getcurrent(), IO)
+        """Lets every other task run first that is ready, or for which something has arrived by now."""
+        task = getcurrent()
+        task.woken = True
+        self.yielded.append((task, IO))
         self.hub.switch()
 
     def wait(
@@ -198,10 +201,12 @@
                     self.wake(self.waiting[fd], IO)
                 else:
                     self._unregister(fd)
+            self.ready.extend(self.yielded)
+            self.yielded.clear()
 
     def _poll_timeout(self, now: int) -> int | None:
         """Returns whole milliseconds, rounded up: rounded down, the loop would spin in the last one."""
-        if self.ready:
+        if self.ready or self.yielded:
             return 0
         return max(-((now - self.heap[0][0]) // 1000), 0) if self.heap else None
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,6 +3,7 @@
 import contextlib
 import json
 import os
+import re
 import resource
 import signal
 import socket
@@ -214,6 +215,12 @@
         self.peer.close()
 
 
+def resident_mb(pid: int) -> float:
+    """Returns the resident memory that no file holds, in MiB (Linux, /proc/PID/status)."""
+    found = re.search(r"RssAnon:\s+(\d+)", Path(f"/proc/{pid}/status").read_text())
+    return int(found[1]) / 1024 if found else 0.0
+
+
 @pytest.fixture
 def serve(tmp_path: Path) -> Iterator[Callable[..., Served]]:
     with contextlib.ExitStack() as stack:
--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -1,7 +1,6 @@
 """Hostile and resting clients at each front: the process stays within its memory, measured from outside."""
 
 import contextlib
-import re
 import socket
 import threading
 import time
@@ -9,7 +8,7 @@
 from pathlib import Path
 
 import pytest
-from conftest import Served
+from conftest import Served, resident_mb
 
 from laurelcourse.lab.tuf_rig import TufRig
 from laurelcourse.standins.base import RELAY_HOST, wait_until
@@ -28,12 +27,6 @@
 FILE = "/image/targets/first.bin"
 
 
-def resident_mb(pid: int) -> float:
-    """Returns the resident memory that no file holds, in MiB (Linux, /proc/PID/status)."""
-    found = re.search(r"RssAnon:\s+(\d+)", Path(f"/proc/{pid}/status").read_text())
-    return int(found[1]) / 1024 if found else 0.0
-
-
 class PeakMemory:
     """The largest memory of a process while the context lasts."""
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -325,6 +325,29 @@
     assert results == [(LATE, True), (LATE, True), IO, MAIL] and not scheduler.waiting
 
 
+def test_a_task_that_yields_lets_through_what_has_arrived_meanwhile(scheduler: Scheduler) -> None:
+    """Guards against a busy client that had up to 128 turns before the kernel was asked for others."""
+    near, far = socket.socketpair()
+    turns: list[str] = []
+
+    def read() -> None:
+        scheduler.wait(near.fileno(), READ)
+        turns.append("reader")
+
+    def go_on() -> None:
+        scheduler.yield_to_others()
+        far.send(b"!")
+        for _ in range(4):
+            scheduler.yield_to_others()
+            turns.append("busy")
+
+    with near, far:
+        for work in (read, go_on):
+            scheduler.spawn(work)
+        scheduler.run(lambda: len(turns) == 5)
+    assert turns.index("reader") <= 1
+
+
 def test_finished_waits_are_removed(scheduler: Scheduler) -> None:
     def work() -> None:
         for _ in range(5000):
--- a/tests/test_race_floods.py
+++ b/tests/test_race_floods.py
@@ -11,10 +11,11 @@
 from pathlib import Path
 
 import pytest
-from conftest import Served
+from conftest import Served, resident_mb
 
 from laurelcourse.standins.base import RELAY_HOST, reset_on_close, wait_until
 from laurelcourse.standins.postgres import STARTUP, PgClient, build_query, pack_message
+from laurelcourse.standins.settings import PLATFORM_SETTINGS
 
 COMPLETED, SHED = ("TDCZ", ""), ("E", "53300")
 SSL, GSS = (struct.pack("!II", 8, code) for code in (80877103, 80877104))
@@ -167,3 +168,47 @@
     assert [client.answer()[:2] for client in (*ready, *idle)] == [COMPLETED] * 10
     for client in crowd:
         client.close()
+
+
+@pytest.mark.parametrize(
+    "flood",
+    [
+        asked("") * 100,
+        pack_message(b"S") * 100,
+        (asked("HELLO") + pack_message(b"S")) * 100,
+        pack_message(b"P") * 100,
+        b"",
+    ],
+    ids=["empty", "sync", "unsound", "skipped", "new-ids"],
+)
+def test_a_client_that_sends_at_full_speed_makes_no_other_late(
+    serve: Callable[..., Served], flood: bytes
+) -> None:
+    """Guards against picture (b) of issue 49: one connection, small or unsound requests, ever new ids."""
+    served, over = serve(memory=64), threading.Event()
+
+    def send() -> None:
+        while not over.is_set():
+            with contextlib.suppress(OSError), socket.create_connection((RELAY_HOST, served.port)) as raw:
+                raw.sendall(STARTUP)
+                threading.Thread(target=read, args=(raw,), daemon=True).start()
+                while not over.is_set():
+                    raw.sendall(flood or b"".join(asked(build_query()) for _ in range(20)))
+
+    def read(raw: socket.socket) -> None:
+        with contextlib.suppress(OSError):
+            while raw.recv(1 << 16):
+                pass
+
+    sender, good = threading.Thread(target=send), Good(served, True)
+    good.ask()
+    before = resident_mb(served.process.pid)
+    sender.start()
+    for _ in range(40):
+        good.ask()
+        time.sleep(0.03)
+    over.set()
+    sender.join(5)
+    objective = PLATFORM_SETTINGS["classes"][2]["aim"] / 1000
+    assert set(good.ends) == {COMPLETED} and good.longest < objective
+    assert resident_mb(served.process.pid) < before + 8  # an eighth of its memory
