TUF fronts remember manifests within the memory, and leave room for other clients

One client with manifests of ever new names took 4 to 5 MB in 4 s, up to 65,536 of them with 4 KiB each, after which all others were turned away for ten minutes; a vin with half a surrogate pair ended its task. Cause: the log counted manifests alone. Number and answers follow from the memory now, and a place is found for other connections (net/fair_share.py).

--- a/laurelcourse/fleet/calls/flows_service.py
+++ b/laurelcourse/fleet/calls/flows_service.py
@@ -181,7 +181,7 @@
 
     async def _refuse(self) -> Message:
         """Answers a call that finds no room, after a while if not too many are held back already."""
-        error = OverloadedError("workflows", waiting=self.admission.open_calls, at_most=MAX_CALLS)
+        error = OverloadedError("workflows", waiting=self.admission.open_calls.taken, at_most=MAX_CALLS)
         if self.held_back < MAX_HELD_BACK:
             self.held_back += 1
             try:
--- a/laurelcourse/fronts/tuf/front.py
+++ b/laurelcourse/fronts/tuf/front.py
@@ -30,6 +30,7 @@
 CLIENT_WRITE_BYTES = 16 << 10  # small enough that a slow client shows between two writes
 DEFAULT_RETRY_AFTER_US = 2 * SECOND_US
 MAX_MANIFESTS = 1 << 16  # remembered
+MANIFEST_BYTES = 512  # of memory for each, without its answer
 MAX_KEPT_ANSWER_BYTES = 4 << 10  # of a director's answer
 
 Pins = dict[str, View | None]  # by repository: the view that a connection's client has
@@ -84,8 +85,9 @@
         self.manifests = ManifestLog(
             bool(director and director.counter),
             director.memory if director else 0,
-            MAX_MANIFESTS,
+            min(MAX_MANIFESTS, 2 * limits.unfinished_bytes // MANIFEST_BYTES),
             MAX_KEPT_ANSWER_BYTES,
+            limits.unfinished_bytes,
         )
 
     # Connections
@@ -419,7 +421,9 @@
             raise BadRequestError(400, f"no manifest: {error}") from None
         if self._has_left(client, MANIFEST):
             return False
-        action, answer = self.manifests.begin(self.scheduler.now(), manifest.key)
+        action, answer = self.manifests.begin(
+            self.scheduler.now(), manifest.key, None if self.manifests.deduplicated else client.number
+        )
         if action == uptane.ANSWER:
             self.counters.add("manifests_given_again")
             return self._respond(client, head, answer.status, {}, answer.body)
--- a/laurelcourse/fronts/tuf/uptane.py
+++ b/laurelcourse/fronts/tuf/uptane.py
@@ -3,11 +3,13 @@
 import hashlib
 import json
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Hashable, Iterable
 from typing import NamedTuple
 
 from tuf.api.metadata import TargetFile
 
+from laurelcourse.net.fair_share import FairShare
+
 # What the director says of an image.
 AGREED = "agreed"
 UNDIRECTED = "undirected"
@@ -94,6 +96,8 @@
     vehicle = signed.get("vin")
     if not isinstance(vehicle, str) or not vehicle:
         raise ManifestError("no vin")
+    if not _is_unicode(vehicle):
+        raise ManifestError("a vin that holds half a character")
     if counter is None:
         return Manifest(_key(body), False)
     count = signed.get(counter)
@@ -102,6 +106,15 @@
     return Manifest(_key(f"{vehicle}\0{count}".encode()), True)
 
 
+def _is_unicode(text: str) -> bool:
+    """Returns whether a text can be written: JSON may name half of a surrogate pair."""
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def _key(data: bytes) -> bytes:
     return hashlib.blake2b(data, digest_size=KEY_BYTES).digest()
 
@@ -116,9 +129,10 @@
 class ManifestEntry:
     """What is known of one manifest."""
 
-    __slots__ = ("answer", "changed_at", "state")
+    __slots__ = ("answer", "changed_at", "client", "state")
 
-    def __init__(self, now: int) -> None:
+    def __init__(self, now: int, client: Hashable) -> None:
+        self.client = client
         self.state = IN_FLIGHT
         self.changed_at = now
         self.answer: DirectorAnswer | None = None
@@ -128,25 +142,35 @@
     """What became of each manifest, for as long as it may be repeated.
 
     A manifest that may have been accepted is never sent twice by this relay, unless the director drops
-    repeats by their counter.
+    repeats by their counter. Where it does, the oldest one is forgotten for a new one; where it doesn't, new
+    ones wait, and one client leaves room for others.
     """
 
-    def __init__(self, deduplicated: bool, memory: int, max_entries: int, max_answer_bytes: int) -> None:
-        """`memory` is in microseconds; longer answers are not kept."""
+    def __init__(
+        self, deduplicated: bool, memory: int, max_entries: int, max_answer_bytes: int, max_kept_bytes: int
+    ) -> None:
+        """`memory` is in microseconds. Longer answers are not kept, nor the oldest over `max_kept_bytes`."""
         self.deduplicated = deduplicated
         self.memory = memory
         self.max_entries = max_entries
         self.max_answer_bytes = max_answer_bytes
+        self.max_kept_bytes = max_kept_bytes
         self.entries: OrderedDict[bytes, ManifestEntry] = OrderedDict()
+        self.shares = FairShare(max_entries)
+        self.kept: OrderedDict[bytes, int] = OrderedDict()  # bytes of kept answers, oldest first
+        self.kept_bytes = 0
+
+    def begin(self, now: int, key: bytes, client: Hashable = None) -> tuple[str, DirectorAnswer | None]:
+        """Returns what to do with a manifest, with its former answer for ANSWER.
 
-    def begin(self, now: int, key: bytes) -> tuple[str, DirectorAnswer | None]:
-        """Returns what to do with a manifest, with its former answer for ANSWER."""
+        `client` is the connection that it came on, if that is to leave room for others.
+        """
         self._forget(now)
         entry = self.entries.get(key)
         if entry is None:
-            if len(self.entries) >= self.max_entries:
+            if not self._make_room() or (client is not None and not self.shares.take(client)):
                 return WAIT, None
-            self.entries[key] = ManifestEntry(now)
+            self.entries[key] = ManifestEntry(now, client)
             return SEND, None
         if entry.state == IN_FLIGHT:
             return WAIT, None
@@ -161,17 +185,48 @@
     def end(self, now: int, key: bytes, state: str, answer: DirectorAnswer | None = None) -> None:
         """Notes DONE with an answer, LOST if it may have been accepted, or '' if it was never sent."""
         if not state:
-            self.entries.pop(key, None)
+            self._remove(key)
         elif entry := self.entries.get(key):
             entry.state = state
             entry.changed_at = now
-            entry.answer = answer if answer and len(answer.body) <= self.max_answer_bytes else None
+            self._keep_answer(key, entry, answer)
             self.entries.move_to_end(key)
 
+    def _keep_answer(self, key: bytes, entry: ManifestEntry, answer: DirectorAnswer | None) -> None:
+        self._drop_answer(key)
+        if answer is None or len(answer.body) > self.max_answer_bytes:
+            return
+        entry.answer = answer
+        self.kept[key] = len(answer.body)
+        self.kept_bytes += len(answer.body)
+        while self.kept_bytes > self.max_kept_bytes:
+            self._drop_answer(next(iter(self.kept)))
+
+    def _drop_answer(self, key: bytes) -> None:
+        self.kept_bytes -= self.kept.pop(key, 0)
+        if entry := self.entries.get(key):
+            entry.answer = None
+
+    def _remove(self, key: bytes) -> None:
+        self._drop_answer(key)
+        entry = self.entries.pop(key, None)
+        if entry is not None and entry.client is not None:
+            self.shares.give_back(entry.client)
+
+    def _make_room(self) -> bool:
+        """Returns whether there is room for a further manifest."""
+        if len(self.entries) < self.max_entries:
+            return True
+        oldest = next((key for key, entry in self.entries.items() if entry.state != IN_FLIGHT), None)
+        if not self.deduplicated or oldest is None:
+            return False
+        self._remove(oldest)
+        return True
+
     def _forget(self, now: int) -> None:
         """Removes old entries; they are in the order of their last change."""
         while self.entries:
             key, entry = next(iter(self.entries.items()))
             if entry.state == IN_FLIGHT or now - entry.changed_at <= self.memory:
                 return
-            del self.entries[key]
+            self._remove(key)
--- a/laurelcourse/net/admission.py
+++ b/laurelcourse/net/admission.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import errno
+import itertools
 import socket
 from collections.abc import Callable
 
@@ -16,6 +17,7 @@
 OUT_OF_DESCRIPTORS = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM))
 STOP = "stop"  # message to a client's task
 HANG_UP_ONLY = 0  # event mask under which poll still reports a hang-up
+CLIENT_NUMBERS = itertools.count(1)
 MESSAGES_PER_TURN = 4  # of one client, before others run
 
 
@@ -28,6 +30,7 @@
 
     def __init__(self, conn: Connection, mailbox: Mailbox, accepted_at: int, address: str) -> None:
         self.conn, self.mailbox, self.accepted_at, self.address = conn, mailbox, accepted_at, address
+        self.number = next(CLIENT_NUMBERS)  # of the connection, never used again
         self.stopping = False
         self.has_spoken = False  # it has sent something that could be served
         self.faults_in_a_row = 0
--- a/tests/test_fleet_workflow_outbox.py
+++ b/tests/test_fleet_workflow_outbox.py
@@ -75,12 +75,12 @@
     clients = [f"client-{number}" for number in range(20)]
     while any([admission.begin(client) for client in clients]):
         pass
-    assert admission.open_calls < 100 and admission.begin("new")
+    assert admission.open_calls.taken < 100 and admission.begin("new")
     for client in clients:
-        for _ in range(admission.by_client[client]):
+        for _ in range(admission.open_calls.by_holder[client]):
             admission.end(client)
     admission.end("new")
-    assert admission.open_calls == 0 and not admission.by_client
+    assert admission.open_calls.taken == 0 and not +admission.open_calls.by_holder
 
 
 def test_what_is_known_of_faulty_clients_is_bounded() -> None:
--- a/tests/test_tuf_decisions.py
+++ b/tests/test_tuf_decisions.py
@@ -355,6 +355,7 @@
         body(count="1"),
         body(count=True),
         body(count=1.5),
+        body(vin="\ud800"),
     ],
 )
 def test_malformed_manifests_are_refused(raw: bytes) -> None:
@@ -372,7 +373,7 @@
 
 @pytest.mark.parametrize("deduped", [False, True])
 def test_a_manifest_that_may_have_been_taken_goes_again_only_where_repeats_are_dropped(deduped: bool) -> None:
-    manifest_log, key, now = uptane.ManifestLog(deduped, 10 * SECOND, 3, 100), b"k", 100 * SECOND
+    manifest_log, key, now = uptane.ManifestLog(deduped, 10 * SECOND, 3, 100, 100), b"k", 100 * SECOND
     given = uptane.DirectorAnswer(200, b"taken")
     assert manifest_log.begin(now, key) == (uptane.SEND, None) and manifest_log.begin(now, key) == (
         uptane.WAIT,
@@ -392,6 +393,22 @@
     ]  # bounded
 
 
+@pytest.mark.parametrize("deduped", [False, True])
+def test_manifests_of_ever_new_names_leave_room_for_others(deduped: bool) -> None:
+    """Guards against one client whose manifests took all places for as long as the director remembers."""
+    manifest_log, now = uptane.ManifestLog(deduped, 10 * SECOND, 8, 100, 300), 100 * SECOND
+    for number in range(20):
+        if manifest_log.begin(now, b"%d" % number, "one")[0] == uptane.SEND:
+            manifest_log.end(now, b"%d" % number, uptane.DONE, uptane.DirectorAnswer(200, bytes(100)))
+    assert manifest_log.begin(now, b"other", "two") == (uptane.SEND, None)
+    assert len(manifest_log.entries) <= 8 and manifest_log.kept_bytes <= 300
+    answers = [entry.answer for entry in manifest_log.entries.values() if entry.answer]
+    assert sum(len(answer.body) for answer in answers) == manifest_log.kept_bytes
+    manifest_log.begin(now + 11 * SECOND, b"last", "one")
+    assert set(manifest_log.entries) == {b"other", b"last"} or not deduped
+    assert manifest_log.shares.taken == len(manifest_log.entries)
+
+
 GET = b"GET /image/metadata/timestamp.json HTTP/1.1\r\nHost: a\r\n"
 
 
