No further try for a client whose close may lie behind unread reqs

Callers saw reqs sent on up to 2 s after their client had closed with much still unread. Cause: the client's kernel sends the close behind what was written before, and the relay's takes no more; a retry follows no write that would tell. Such a req ends with an error that claims nothing.

--- a/laurelcourse/fronts/postgres/front.py
+++ b/laurelcourse/fronts/postgres/front.py
@@ -189,7 +189,10 @@
             self.counters.add(f"reqs.{statement.route}.{SHED}")
             return self._final_reply(SHED, 0) + wire.READY
         mailbox = Mailbox(self.scheduler)
-        if not self.lifecycle.begin(statement, mailbox, client.mailbox, client.conn.peer_has_closed, on_over):
+        conn = client.conn
+        if not self.lifecycle.begin(
+            statement, mailbox, client.mailbox, conn.peer_has_closed, on_over, conn.may_hide_close
+        ):
             raise ProtocolError(wire.INVALID_VALUE, "id is that of a req under way")
         client.has_spoken, client.faults_in_a_row = True, 0
         if message := self.admission.next_message(client):
--- a/laurelcourse/fronts/tuf/front.py
+++ b/laurelcourse/fronts/tuf/front.py
@@ -343,7 +343,10 @@
             acknowledgements,
             mark_outdated,
         )
-        self.lifecycle.begin(request, mailbox, client.mailbox)
+        conn = client.conn
+        self.lifecycle.begin(
+            request, mailbox, client.mailbox, conn.peer_has_closed, close_is_hidden=conn.may_hide_close
+        )
         floor, floor_over = self.settings.limits.floor, self.settings.limits.floor_over
         monitor = ThroughputMonitor(floor, CLIENT_WINDOW_FACTOR * floor_over)
         begun, stays = False, head.stays
@@ -468,7 +471,10 @@
         if on_over is None:
             self.manifests.end(self.scheduler.now(), key, "")
             raise RefusedError("too many large manifests are under way", DEFAULT_RETRY_AFTER_US)
-        self.lifecycle.begin(request, mailbox, client.mailbox, on_over=on_over)
+        conn = client.conn
+        self.lifecycle.begin(
+            request, mailbox, client.mailbox, conn.peer_has_closed, on_over, conn.may_hide_close
+        )
         try:
             while message := self.admission.next_message(client):
                 kind, *content = message
--- a/laurelcourse/net/connection.py
+++ b/laurelcourse/net/connection.py
@@ -1,12 +1,17 @@
 """A stream socket with a read buffer: connect, read, write, deadlines, close."""
 
 import errno
+import fcntl
 import socket
+import sys
+import termios
 from collections.abc import Callable
 
 from laurelcourse.net.limits import Limits
 from laurelcourse.net.scheduler import CLOSED, IO, LATE, MAIL, READ, WRITE, Mailbox, Scheduler
 
+INT_BYTES = 4  # of a C int, as FIONREAD returns
+
 # How a read ended, beside the scheduler's MAIL and LATE.
 GOT = "got"
 ENDED = "ended"
@@ -138,6 +143,16 @@
             reason = self.read_now()
         return reason == ENDED or (reason == GOT and self.scheduler.ready_now(self.fd, CLOSED))
 
+    def may_hide_close(self) -> bool:
+        """Returns whether so much is unread that the other side's close may not have arrived yet.
+
+        Its kernel sends the close behind all that was written before, and waits for room here.
+        """
+        if not self.open or len(self.buffer) < self.limits.usual_buffer:
+            return False
+        count = fcntl.ioctl(self.fd, termios.FIONREAD, bytes(INT_BYTES))
+        return int.from_bytes(count, sys.byteorder) >= self.limits.close_hiding_bytes
+
     def wait_closed(self, mailbox: Mailbox) -> str:
         """Waits, without reading, for the other side's close or for mail; returns ENDED or MAIL."""
         reason = self.scheduler.wait(self.fd, CLOSED, mailbox) if self.open else ENDED
--- a/laurelcourse/net/limits.py
+++ b/laurelcourse/net/limits.py
@@ -41,6 +41,8 @@
     fault_delay: int  # before the reply to a repeated fault, or to one that ends the connection
     unfinished_bytes: int  # of all clients' unfinished messages together
     under_way_bytes: int  # of all large messages whose reqs are under way
+    # Unread bytes of a client from which on its close may not have arrived yet, as the kernel takes no more.
+    close_hiding_bytes: int
     max_discarded: int  # bytes read and dropped while a connection closes
     response_time: int  # within which a response that has begun is complete; TCP resends after 0.2 s
     settle_time: int  # a connection to a unit is not reused for so long: unexpected bytes show by then
@@ -105,6 +107,7 @@
         fault_delay=500 * MILLISECOND,
         unfinished_bytes=max(memory >> 4, 2 * MAX_MESSAGE_BYTES),
         under_way_bytes=max(memory >> 2, 2 * HELD_COPIES * MAX_MESSAGE_BYTES),
+        close_hiding_bytes=16 * KIB,  # less than the smallest usual receive window
         max_discarded=256 * KIB,
         response_time=500 * MILLISECOND,
         settle_time=50 * MILLISECOND,
--- a/laurelcourse/net/req.py
+++ b/laurelcourse/net/req.py
@@ -46,21 +46,28 @@
         client_mailbox: Mailbox,
         client_has_left: Callable[[], bool] | None = None,
         on_over: Callable[[], None] = lambda: None,
+        close_is_hidden: Callable[[], bool] = lambda: False,
     ) -> bool:
         """Starts a req's task; returns False if a req with its id is under way.
 
         Its one answer (ANSWER, end, value) goes to the client's mailbox. GONE in the req's mailbox says that
         the client has left; `client_has_left` is asked right before bytes go to a unit. `on_over` is called
-        once nothing holds the request any more.
+        once nothing holds the request any more. After the first try there is no further one while
+        `close_is_hidden`: what was written to the client before it would have told that it is gone.
         """
         if not self.dispatcher.register(request.req, mailbox, client_has_left):
             on_over()
             return False
-        self.scheduler.spawn(self._run, request, mailbox, client_mailbox, on_over)
+        self.scheduler.spawn(self._run, request, mailbox, client_mailbox, on_over, close_is_hidden)
         return True
 
     def _run(
-        self, request: Request, mailbox: Mailbox, client_mailbox: Mailbox, on_over: Callable[[], None]
+        self,
+        request: Request,
+        mailbox: Mailbox,
+        client_mailbox: Mailbox,
+        on_over: Callable[[], None],
+        close_is_hidden: Callable[[], bool],
     ) -> None:
         """Runs until the req is answered and no try is open."""
         req, route, dispatcher = request.req, request.route, self.dispatcher
@@ -75,6 +82,11 @@
                 if message == face.SEND:
                     _, unit, limit = args
                     open_tries += 1
+                    if end is None and tries and close_is_hidden():
+                        end = ERRORED
+                        client_mailbox.put((ANSWER, end, None))
+                        self.counters.add("reqs_of_hidden_clients")
+                        dispatcher.withdrawn(req)
                     if end is None:
                         tries.append(self.tries.begin(len(tries), unit, limit, request, mailbox))
                     else:
--- a/tests/test_race_clients.py
+++ b/tests/test_race_clients.py
@@ -138,6 +138,42 @@
     assert served.count("module_faults") == served.count("tasks_died") == 0
 
 
+def fill(sock: socket.socket, raw: bytes) -> None:
+    """Writes until neither side's kernel takes more, so that a close stays behind what is not sent yet."""
+    sock.setblocking(False)
+    left, stalled_since = memoryview(raw), time.monotonic()
+    while left and time.monotonic() < stalled_since + 0.1:
+        try:
+            left = left[sock.send(left) :]
+            stalled_since = time.monotonic()
+        except BlockingIOError:
+            time.sleep(0.002)
+
+
+@pytest.mark.parametrize("route", ["read", "mark"])
+def test_no_further_try_is_made_for_a_client_whose_close_is_hidden(
+    serve: Callable[..., Served], route: str
+) -> None:
+    """Guards against retries up to 1.4 s after a client left with much still unread."""
+    served = serve(units=4)
+    for _ in range(5):
+        assert served.client().ask(build_query())[:2] == COMPLETED
+    for unit in served.units:
+        unit.mode = "silent"
+    client = served.client()
+    fill(client.sock, b"".join(asked(build_query(route, more=",novel=1")) for _ in range(30_000)))
+    left = leave(client, "fin")
+    time.sleep(2.5)
+    late = [
+        round(when - left, 2)
+        for unit in served.units
+        for query, when in zip(unit.queries, unit.times, strict=True)
+        if "novel=1" in query and when > left + LATE
+    ]
+    assert late == [] and served.count("reqs_of_hidden_clients") == 1
+    assert served.count("module_faults") == served.count("tasks_died") == 0
+
+
 # -- kiosks
 
 
@@ -247,3 +283,22 @@
     assert asked_since(kiosks, MANIFESTS, left) == []
     assert kiosks.request(MANIFESTS, "POST", report(2))[0] == 200
     assert [key for mirror in kiosks.mirrors for key in mirror.manifests].count(("v", 2)) == 1
+
+
+@pytest.mark.parametrize(
+    "first, path, route",
+    [(wanted("first.bin"), "first.bin", "target"), (posted(1), MANIFESTS, "manifest")],
+    ids=["file", "manifest"],
+)
+def test_no_other_mirror_is_asked_for_a_client_whose_close_is_hidden(
+    kiosks: TufRig, first: bytes, path: str, route: str
+) -> None:
+    assert kiosks.request(FILES + "next.bin")[0] == 200
+    for mirror in kiosks.mirrors:
+        mirror.modes[route] = "silent"
+    sock = kiosk(kiosks)
+    fill(sock, first + wanted("next.bin", 3000) * 2000)
+    left = hang_up(sock, "fin")
+    time.sleep(2.5)
+    assert [asked_since(kiosks, words, left) for words in (path, "next.bin")] == [[], []]
+    assert kiosks.counter("module_faults") == kiosks.counter("tasks_died") == 0
