An id that may have run is not run again, when it comes back after its client left

A non-retriable req whose client left ran once more for each time that its id came again. Cause: ids were known while their reqs were under way alone. Those that may have run, of routes that are not retriable, are kept within a 32nd of the memory, and refused like one under way.

--- a/laurelcourse/fronts/postgres/front.py
+++ b/laurelcourse/fronts/postgres/front.py
@@ -193,7 +193,9 @@
         if not self.lifecycle.begin(
             statement, mailbox, client.mailbox, conn.peer_has_closed, on_over, conn.may_hide_close
         ):
-            raise ProtocolError(wire.INVALID_VALUE, "id is that of a req under way")
+            raise ProtocolError(
+                wire.INVALID_VALUE, "id is that of a req under way, or of one that may have run"
+            )
         client.has_spoken, client.faults_in_a_row = True, 0
         if message := self.admission.next_message(client):
             _, end, value = message
--- a/laurelcourse/fronts/tuf/wiring.py
+++ b/laurelcourse/fronts/tuf/wiring.py
@@ -134,6 +134,7 @@
             make_room_from=limits.make_room_from // share,
             max_rejected=max(limits.max_rejected // share, 1),
             max_upstream=max(limits.max_upstream // share, MIN_UPSTREAM_CONNECTIONS),
+            spent_ids=0,  # this front names its reqs itself
             unfinished_bytes=limits.unfinished_bytes // share,
             under_way_bytes=limits.under_way_bytes // share,
         ),
--- a/laurelcourse/net/assembly.py
+++ b/laurelcourse/net/assembly.py
@@ -17,7 +17,9 @@
 from laurelcourse.net.pool import Pool
 from laurelcourse.net.req import ReqLifecycle
 from laurelcourse.net.scheduler import Mailbox, Scheduler
+from laurelcourse.net.spent_ids import SpentIds
 from laurelcourse.net.tries import Exchange, TryRunner
+from laurelcourse.settings import RETRIABLE
 
 log = logging.getLogger(__name__)
 
@@ -66,7 +68,14 @@
         self.exchange = make_exchange(self.dispatcher)
         self.pool = Pool(scheduler, upstream_limits or config.limits, self.exchange.greet, counters)
         self.tries = TryRunner(scheduler, self.pool, self.exchange, counters, self.dispatcher.may_write)
-        self.lifecycle = ReqLifecycle(scheduler, self.dispatcher, self.tries, counters)
+        self.lifecycle = ReqLifecycle(
+            scheduler,
+            self.dispatcher,
+            self.tries,
+            counters,
+            SpentIds(config.limits.spent_ids),
+            frozenset(route.name for route in config.settings.routes if route.repeat_policy != RETRIABLE),
+        )
         self.admission = ClientAdmission(
             scheduler, config.limits, self.pool.drop_idle, counters, lambda client: self.front.serve(client)
         )
--- a/laurelcourse/net/limits.py
+++ b/laurelcourse/net/limits.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from laurelcourse.net.spent_ids import ID_BYTES
 from laurelcourse.settings import SettingsTree
 
 SECOND = 1_000_000
@@ -40,6 +41,7 @@
     max_faults: int  # of a client in a row, until its connection is closed
     fault_delay: int  # before the reply to a repeated fault, or to one that ends the connection
     unfinished_bytes: int  # of all clients' unfinished messages together
+    spent_ids: int  # that are remembered, since their reqs must not run again
     under_way_bytes: int  # of all large messages whose reqs are under way
     # Unread bytes of a client from which on its close may not have arrived yet, as the kernel takes no more.
     close_hiding_bytes: int
@@ -106,6 +108,7 @@
         max_faults=4,
         fault_delay=500 * MILLISECOND,
         unfinished_bytes=max(memory >> 4, 2 * MAX_MESSAGE_BYTES),
+        spent_ids=(memory >> 5) // ID_BYTES,
         under_way_bytes=max(memory >> 2, 2 * HELD_COPIES * MAX_MESSAGE_BYTES),
         close_hiding_bytes=16 * KIB,  # less than the smallest usual receive window
         max_discarded=256 * KIB,
--- a/laurelcourse/net/req.py
+++ b/laurelcourse/net/req.py
@@ -7,6 +7,7 @@
 from laurelcourse.net.counters import Counters
 from laurelcourse.net.dispatcher import Dispatcher
 from laurelcourse.net.scheduler import Mailbox, Scheduler
+from laurelcourse.net.spent_ids import SpentIds
 from laurelcourse.net.tries import OUTCOME, TryRunner, UpstreamTry
 
 # Messages: the final answer to the client's task, and the client's leaving to the req's task.
@@ -34,10 +35,19 @@
     """Runs one task for each req."""
 
     def __init__(
-        self, scheduler: Scheduler, dispatcher: Dispatcher, tries: TryRunner, counters: Counters
+        self,
+        scheduler: Scheduler,
+        dispatcher: Dispatcher,
+        tries: TryRunner,
+        counters: Counters,
+        spent_ids: SpentIds | None = None,
+        routes_run_once: frozenset[str] = frozenset(),
     ) -> None:
+        """An id of `routes_run_once` that may have run is kept in `spent_ids`, and not taken again."""
         self.scheduler, self.dispatcher, self.tries = scheduler, dispatcher, tries
         self.counters = counters
+        self.spent_ids = spent_ids or SpentIds(0)
+        self.routes_run_once = routes_run_once
 
     def begin(
         self,
@@ -48,14 +58,17 @@
         on_over: Callable[[], None] = lambda: None,
         close_is_hidden: Callable[[], bool] = lambda: False,
     ) -> bool:
-        """Starts a req's task; returns False if a req with its id is under way.
+        """Starts a req's task; returns False if a req with its id is under way, or may have run and must not
+        run again.
 
         Its one answer (ANSWER, end, value) goes to the client's mailbox. GONE in the req's mailbox says that
         the client has left; `client_has_left` is asked right before bytes go to a unit. `on_over` is called
         once nothing holds the request any more. After the first try there is no further one while
         `close_is_hidden`: what was written to the client before it would have told that it is gone.
         """
-        if not self.dispatcher.register(request.req, mailbox, client_has_left):
+        if request.req in self.spent_ids or not self.dispatcher.register(
+            request.req, mailbox, client_has_left
+        ):
             on_over()
             return False
         self.scheduler.spawn(self._run, request, mailbox, client_mailbox, on_over, close_is_hidden)
@@ -72,7 +85,7 @@
         """Runs until the req is answered and no try is open."""
         req, route, dispatcher = request.req, request.route, self.dispatcher
         tries: list[UpstreamTry] = []
-        open_tries, end = 0, None
+        open_tries, end, may_have_run = 0, None, False
         try:
             dispatcher.new_req(req, route, request.key, request.left_ms * 1000, request.repeated)
             # What the module decided before it learned of the client's leaving is still in the mailbox. Its
@@ -96,6 +109,7 @@
                 elif message == OUTCOME:
                     number, unit, status, lag, load, value = args
                     open_tries -= 1
+                    may_have_run |= status not in face.NEVER_RAN
                     if status == face.OK and end is None:
                         end = COMPLETED
                         client_mailbox.put((ANSWER, end, value))
@@ -114,6 +128,8 @@
                 # After a fault of this program the client still gets its one answer, which claims nothing.
                 end = ERRORED
                 client_mailbox.put((ANSWER, end, None))
+            if route in self.routes_run_once and (may_have_run or open_tries):
+                self.spent_ids.add(req)
             dispatcher.unregister(req)
             on_over()
             self.counters.add(f"reqs.{route}.{end}")
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -19,6 +19,7 @@
 from laurelcourse.net.req import GONE, ReqLifecycle
 from laurelcourse.net.scheduler import IO, LATE, MAIL, READ, SHUT, Clock, Mailbox, Scheduler
 from laurelcourse.net.shutdown import DRAINING, LEAVING, OVER, SERVING, Shutdown
+from laurelcourse.net.spent_ids import SpentIds
 from laurelcourse.net.tries import OUTCOME, TryRunner
 from laurelcourse.settings import SettingsTree
 from laurelcourse.standins.base import STAND_IN_HOST
@@ -348,6 +349,13 @@
     assert turns.index("reader") <= 1
 
 
+def test_the_oldest_spent_ids_are_forgotten() -> None:
+    spent = SpentIds(3)
+    for number in range(5):
+        spent.add(str(number))
+    assert [str(number) in spent for number in range(5)] == [False, False, True, True, True]
+
+
 def test_finished_waits_are_removed(scheduler: Scheduler) -> None:
     def work() -> None:
         for _ in range(5000):
--- a/tests/test_race_clients.py
+++ b/tests/test_race_clients.py
@@ -138,6 +138,34 @@
     assert served.count("module_faults") == served.count("tasks_died") == 0
 
 
+@pytest.mark.parametrize("route", ["once", "mark"])
+@pytest.mark.parametrize("wait", [0, 0.6])
+def test_an_id_that_may_have_run_does_not_run_again(
+    serve: Callable[..., Served], route: str, wait: float
+) -> None:
+    """Guards against an id that ran twice when it came again after its client had left."""
+    served, words = serve(modes="slow0.4"), build_query(route)
+    client = served.client()
+    client.send(words)
+    wait_until(lambda: words.split(",d=")[0] in "".join(served.queries()))
+    leave(client, "fin")
+    time.sleep(wait)
+    again = served.client()
+    for _ in range(3):
+        assert again.ask(words)[:2] == ("EZ", "22023")
+    assert sum(words.split(",d=")[0] in query for query in served.queries()) == 1
+    fresh = served.client().ask(build_query(route))
+    assert fresh[:2] == COMPLETED  # as any other id
+
+
+def test_an_id_that_never_ran_may_come_again(serve: Callable[..., Served]) -> None:
+    served, words = serve(modes="busy"), build_query("once")
+    assert served.client().ask(words)[:2] == ("EZ", "53300")
+    for unit in served.units:
+        unit.mode = "ok"
+    wait_until(lambda: served.client().ask(words)[:2] == COMPLETED)
+
+
 def fill(sock: socket.socket, raw: bytes) -> None:
     """Writes until neither side's kernel takes more, so that a close stays behind what is not sent yet."""
     sock.setblocking(False)
