--- a/laurelcourse/net/directory.py
+++ b/laurelcourse/net/directory.py
@@ -151,7 +151,8 @@
             raise HttpError("no connection")
         if not self.conn.write(http.request("GET", target, self.address), deadline):
             raise HttpError("a call not written whole")
-        response = read_response(self.conn, deadline, self.limits.max_body)
+        # A slow directory has as long behind its head as before it.
+        response = read_response(self.conn, deadline, self.limits.max_body, response_time)
         if response.head.status != 200:
             raise HttpError(f"status {response.head.status}")
         if response.head.closes:
--- a/laurelcourse/net/http_client.py
+++ b/laurelcourse/net/http_client.py
@@ -10,17 +10,20 @@
 log = logging.getLogger(__name__)
 
 
-def read_response(conn: Connection, deadline: int, max_body: int) -> Response:
+def read_response(conn: Connection, deadline: int, max_body: int, min_response_time: int = 0) -> Response:
     """Reads a whole response.
 
+    Once it has begun it has the limits' response time, or `min_response_time` if that is longer, both in
+    microseconds.
     Raises HttpError if it breaks, does not come in time, stalls half-way or cannot be parsed.
     """
     response, begun = Response(max_body), False
+    response_time = max(conn.limits.response_time, min_response_time)
     while not response.done:
         reason = conn.read(deadline)
         if reason == GOT:
             if not begun:
-                begun, deadline = True, min(deadline, conn.scheduler.now() + conn.limits.response_time)
+                begun, deadline = True, min(deadline, conn.scheduler.now() + response_time)
             response.feed(conn.buffer.take())
         elif reason == ENDED:
             response.end_of_stream()
--- a/tests/test_race_lists.py
+++ b/tests/test_race_lists.py
@@ -74,6 +74,17 @@
             super().answer(conn, method, target, query)
 
 
+class SlowAgent(DirectoryStandIn):
+    """A directory whose lists come some time behind their heads, once it is told so."""
+
+    body_delay = 0.0  # seconds
+
+    def reply(self, conn: socket.socket, status: int, body: str) -> None:
+        conn.sendall(f"HTTP/1.1 {status} OK\r\nContent-Length: {len(body)}\r\n\r\n".encode())
+        time.sleep(self.body_delay)
+        conn.sendall(body.encode())
+
+
 class Asker:
     """Sends reqs again and again, so that it is seen where they go at each moment."""
 
@@ -768,3 +779,18 @@
         for state in (reported, known)
     )
     assert payloads.lifts_cap(first, second) == lifts
+
+
+def test_lists_that_come_behind_their_heads_are_taken(
+    started: Callable[..., Served], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against `review/10`: an answer that had begun was given up after 0.5 s, each time anew."""
+    monkeypatch.setattr(conftest, "DirectoryStandIn", SlowAgent)
+    served = started(discovery="ask")
+    with contextlib.closing(Asker(served)):
+        wait_until(lambda: served.units[0].queries)
+        served.directory.body_delay = 0.9
+        changed_at = time.monotonic()
+        late = drain(served.directory, served)
+        told_after = 6.0  # what the page counts as told at the latest
+        assert left_at(served, late, told_after + 4) < changed_at + told_after + LEAST_GRACE
