A list of the largest fleet is taken with the least memory

Cause: its bound was a 64th of the memory, 786,432 bytes for a list of 825,000. A list has a bound by units.

--- a/laurelcourse/net/directory.py
+++ b/laurelcourse/net/directory.py
@@ -152,7 +152,7 @@
         if not self.conn.write(http.request("GET", target, self.address), deadline):
             raise HttpError("a call not written whole")
         # A slow directory has as long behind its head as before it.
-        response = read_response(self.conn, deadline, self.limits.max_body, response_time)
+        response = read_response(self.conn, deadline, self.limits.max_list, response_time)
         if response.head.status != 200:
             raise HttpError(f"status {response.head.status}")
         if response.head.closes:
--- a/laurelcourse/net/limits.py
+++ b/laurelcourse/net/limits.py
@@ -11,6 +11,8 @@
 MAX_STOP_TIME = 3 * SECOND  # that the platform allows for answers after SIGTERM
 MIN_SOCKETS = 32  # the process and its peers use sixteen; with fewer than that many more it serves nobody
 RESERVED_SOCKETS = 16
+MAX_UNITS = 3_200  # of the largest fleet
+MAX_ENTRY_BYTES = 512  # of one unit in a list, indented
 HELD_COPIES = 2  # of a message whose req is under way: its own, and the one that is being written to a unit
 MAX_MESSAGE_BYTES = 136 * KIB  # a value of 64 KiB in hexadecimal digits, and the statement around it
 
@@ -29,6 +31,7 @@
     max_message: int  # bytes of a client's message
     max_unit_value: int  # bytes of a unit's value
     max_body: int  # bytes of an HTTP body
+    max_list: int  # bytes of a list of units
     max_datagram: int
     connect_timeout: int
     max_idle: int  # of a kept connection to a unit
@@ -98,6 +101,7 @@
         max_message=MAX_MESSAGE_BYTES,
         max_unit_value=max(memory >> 6, MAX_MESSAGE_BYTES),
         max_body=max(memory >> 6, 256 * KIB),
+        max_list=max(memory >> 6, MAX_UNITS * MAX_ENTRY_BYTES),
         max_datagram=256,
         connect_timeout=tree.microseconds("settings.limits.connect_timeout"),
         max_idle=idle - min(idle // 10, SECOND),
--- a/tests/test_race_lists.py
+++ b/tests/test_race_lists.py
@@ -13,7 +13,7 @@
 
 import conftest
 import pytest
-from conftest import SECOND, BalancerDriver, Served
+from conftest import SECOND, BalancerDriver, Served, resident_mb
 
 from laurelcourse import interface as face
 from laurelcourse.net import payloads
@@ -794,3 +794,19 @@
         late = drain(served.directory, served)
         told_after = 6.0  # what the page counts as told at the latest
         assert left_at(served, late, told_after + 4) < changed_at + told_after + LEAST_GRACE
+
+
+def test_the_list_of_the_largest_fleet_is_taken_with_the_least_memory(started: Callable[..., Served]) -> None:
+    """Guards against `review/9`: the whole list of 3,200 units was longer than a 64th of the memory."""
+    served = started(memory=32)
+    for number in range(3200):
+        served.directory.entries[f"unit-{number:05}-of-a-long-name"] = served.directory.entries["s-0"] | {
+            "id": f"unit-{number:05}-of-a-long-name",
+            "flavor": "std-3c",
+            "phase": "leaving",
+        }
+    late = UnitStandIn()
+    served.directory.put("s-1", late.address)
+    wait_until(lambda: served.client().ask(build_query())[0] == "TDCZ" and late.queries, 8)
+    assert not served.count("directory_failed")
+    assert resident_mb(served.process.pid) < 32
