--- a/tests/test_fleet_workflow_service.py
+++ b/tests/test_fleet_workflow_service.py
@@ -221,4 +221,5 @@
                 garbage(b"\xff" * 9, timeout=5)
             durations.append(time.monotonic() - began)
         assert durations[0] < FAULT_DELAY / SECOND <= min(durations[1:])
-        assert service.admission.open_calls.taken == 0 and len(service.admission.faults_in_a_row) == 1
+        wait_until(lambda: service.admission.open_calls.taken == 0)  # a call ends behind its answer
+        assert len(service.admission.faults_in_a_row) == 1
