--- a/laurelcourse/fleet/calls/flows_service.py
+++ b/laurelcourse/fleet/calls/flows_service.py
@@ -33,11 +33,13 @@
 from laurelcourse.fleet.workflows.definition import MAX_DURATION_US
 from laurelcourse.fleet.workflows.engine import MAX_CLIENTS, WorkflowEngine
 from laurelcourse.fleet.workflows.run import ERRORED, ClientAnswer
+from laurelcourse.net.fair_share import FairShare
 
 MAX_CALLS = MAX_CLIENTS + 128  # all that may wait, and those that look, leave or settle meanwhile
 MAX_MESSAGE_BYTES = 64 << 10  # twice the largest call that is within the books' bounds
 MAX_STREAMS = 256  # open calls on one connection
-MAX_HELD_BACK = 256  # refused calls whose answers are held back
+MAX_HELD_BACK = 64  # refused calls whose answers are held back
+MAX_READING = 2 * MAX_STREAMS  # calls whose message has not come
 STREAM_WINDOW_BYTES = 8 << 10  # of a call's message, that gRPC takes before it is read
 METADATA_BYTES = 4 << 10  # of a call's head; twice as much ends the call at once
 READ_TIME = 2_300_000  # microseconds, for a call's message
@@ -92,6 +94,7 @@
         # Used by the loop's thread alone.
         self.waiting: set[asyncio.Future] = set()
         self.admission = CallAdmission(MAX_CALLS, FAULT_DELAY)
+        self.reading = FairShare(MAX_READING)
         self.held_back = 0
         self.loop = asyncio.new_event_loop()
         self.thread = threading.Thread(target=self._serve, name="fleet-flows", daemon=True)
@@ -169,7 +172,12 @@
         if not self.admission.begin(client):
             return await self._refuse()
         try:
-            order = await self._read(order_type, client, messages, context)
+            if not self.reading.take(client):
+                return await self._refuse()
+            try:
+                order = await self._read(order_type, client, messages, context)
+            finally:
+                self.reading.give_back(client)
             answer = await call(Call(order, client, context))
             if answer.refused.code in FAULTS:
                 await self._delay_fault(client)
